Count what became of requests and why, a log line each 5 s

The gateway now counts final answers, outcomes and connections, and the module the reasons for which it turned requests away.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -71,6 +71,7 @@
     private static final double AWAY = 0.3;             // of a share, in another zone
     private static final double EVEN = 0.2;             // part of the way to even use that a refresh goes
     private static final double UNEVEN = 8;             // kinds differ by no more than this
+    private static final int LOG_EVERY = 10;            // refreshes to a line on what was turned away
     private static final String TIMER = "refresh";
 
     /** A tenant's share at this gateway. Only what is admitted draws on it: clients whose requests are
@@ -131,6 +132,11 @@
     private final double[] idleSeen = new double[64];
     private long idleLimit = Long.MAX_VALUE;
     private long idleUntil;
+    // Since the last line of the log.
+    private int refreshes;
+    private int pressed;
+    private int homeless;
+    private int givenUp;
 
     // ---- events
 
@@ -193,7 +199,9 @@
         Session session = req.keyed ? sessions.get(key) : null;
         Server server = session == null ? null : stick(now, req, session);
         server = server == null ? draw(now, req) : server;
-        boolean refused = server == null || refuses(now, req, share, session != null, server);
+        boolean refused = server != null && refuses(now, req, share, session != null, server);
+        pressed += refused ? 1 : 0;
+        homeless += server == null ? 1 : 0;
         place(now, req, refused ? null : server);
     }
 
@@ -436,6 +444,24 @@
         manyFull = servers.values().stream().filter(s -> full(now, s)).count() > MANY * known;
         setPressure(now);
         forget(now);
+        report(now);
+    }
+
+    /** Why requests were turned away, for the operator: no more than a line for some refreshes. */
+    private void report(long now) {
+        if (++refreshes % LOG_EVERY != 0 || pressed + homeless + givenUp == 0) {
+            return;
+        }
+        long up = servers.values().stream().filter(s -> s.host.health() == Health.UP).count();
+        long in = servers.values().stream().filter(s -> s.inSet).count();
+        long down = servers.values().stream().filter(s -> s.down).count();
+        long cold = servers.values().stream().filter(s -> s.coldSince > 0).count();
+        long full = servers.values().stream().filter(s -> full(now, s)).count();
+        actions.log("turned away: " + pressed + " by pressure, " + homeless + " with no host, " + givenUp
+                + " after a failed attempt; pressure " + Math.round(100 * fleetPressure) + "%; hosts "
+                + servers.size() + ": " + up + " up, " + in + " in S*, " + down + " down, " + cold + " cold, "
+                + full + " full");
+        pressed = homeless = givenUp = 0;
     }
 
     /** Where reports tell how busy cores are and no weight tells sizes, kinds are given more or less until
@@ -848,6 +874,8 @@
         Server server = pays && retryBudget >= cost ? draw(now, req) : null;
         if (server != null) {
             retryBudget -= cost;
+        } else {
+            givenUp++;
         }
         place(now, req, server);
     }
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -151,6 +151,7 @@
         Connection first = Stream.concat(silent.stream(), idle.stream()).filter(c -> c != newcomer).findFirst()
                 .orElse(null);
         if (first != null) {
+            gateway.tally().add(Tally.Count.CLIENTS_PUSHED_OUT);
             first.channel.close();
         }
         return first != null;
@@ -201,6 +202,8 @@
         public void channelActive(ChannelHandlerContext context) {
             connections.add(this);
             silent.add(this);
+            gateway.tally().add(Tally.Count.CLIENTS_CAME);
+            gateway.tally().level(Tally.Level.CLIENT_CONNECTIONS, connections.size());
             if (connections.size() > most && !makeRoom(this)) {
                 server.config().setAutoRead(false);
             }
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -40,6 +40,7 @@
     private static final long BACKSTOP = 2_000;
     // A probe is answered beside the queue: no answer by then is none.
     private static final long PROBE_TIMEOUT = 250_000;
+    private static final long TALLY_SECONDS = 5;
     private static final String[] PASSED_ON = {"X-Trace-Id", "Idempotency-Key"};
 
     /** Where the one final answer goes. */
@@ -71,6 +72,7 @@
         /** The client went away: nothing more is owed. */
         void departed() {
             if (!ended) {
+                tally.add(Tally.Count.DEPARTED);
                 finish(this);
                 event(null, now -> module.departed(now, id));
             }
@@ -83,6 +85,7 @@
     private final HostPool hosts;
     private final Discovery discovery;
     private final Settings settings;
+    private final Tally tally = new Tally();
     private final int openMost;
     private final Map<Long, Exchange> ledger = new HashMap<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
@@ -99,9 +102,10 @@
         settings = config.settings();
         this.openMost = Math.min(openMost, settings.limits().maxOpen());
         hosts = new HostPool(loop, this::now, settings.links().dialTimeout(), settings.links().idle(),
-                settings.rules().drainGrace(), hostConnections, this::log);
+                settings.rules().drainGrace(), hostConnections, tally, this::log);
         discovery = new Discovery(loop, config.discovery(), config.known().rev(),
                 list -> learn(list, list.all() ? ListForm.FULL : ListForm.DELTA), this::listFailed);
+        loop.scheduleWithFixedDelay(this::logTally, TALLY_SECONDS, TALLY_SECONDS, TimeUnit.SECONDS);
         module.start(now(), settings, this);
         learn(config.known(), ListForm.CACHED);
         if (!settings.registryOnRequest()) {
@@ -114,6 +118,18 @@
         return startedAt + System.nanoTime() / 1000;
     }
 
+    /** What is counted for the log; the clients' side adds its part. */
+    Tally tally() {
+        return tally;
+    }
+
+    private void logTally() {
+        String line = tally.line();
+        if (!line.isEmpty()) {
+            log(line);
+        }
+    }
+
     /** Discovery is to be asked at another address. */
     void discoverAt(InetSocketAddress at) {
         log("discovery at " + NetUtil.toSocketAddressString(at));
@@ -162,17 +178,21 @@
     /** Takes a request, which keeps its message; null where it was answered at once. */
     Exchange take(Client client, FullHttpRequest message, String className, String tenant, Long key, long left,
             boolean repeated, long work) {
+        tally.add(Tally.Count.TAKEN);
         if (open >= openMost) {
+            tally.add(Tally.Count.REFUSED_AT_BOUND);
             client.refused(settings.limits().maxRetryAfter());
             return null;
         }
         long kept = left - MARGIN;
         if (kept <= 0) {
+            tally.add(Tally.Count.OVERDUE);
             client.failed(true);
             return null;
         }
         Exchange exchange = new Exchange(client, message.retain());
         open++;
+        tally.level(Tally.Level.OPEN_REQUESTS, open);
         ledger.put(exchange.id, exchange);
         exchange.backstop = loop.schedule(() -> overdue(exchange), kept + BACKSTOP, TimeUnit.MICROSECONDS);
         boolean write = message.method().equals(HttpMethod.POST);
@@ -184,6 +204,7 @@
     /** The module owes an answer in time, and this keeps the promise where it doesn't. */
     private void overdue(Exchange exchange) {
         if (!exchange.ended) {
+            tally.add(Tally.Count.OVERDUE);
             finish(exchange);
             exchange.client.failed(true);
             event(null, now -> module.departed(now, exchange.id));
@@ -209,7 +230,9 @@
         long elapsed = now() - sentAt;
         LoadReport report = report(answer);
         exchange.late = outcome == Outcome.EXPIRED;
+        tally.add(outcome);
         if (outcome == Outcome.DELIVERED && !exchange.ended) {
+            tally.add(Tally.Count.SERVED);
             finish(exchange);
             exchange.client.served(answer);
         }
@@ -269,6 +292,7 @@
     public void refuse(long id, long retryAfter) {
         Exchange exchange = ledger.get(id);
         if (exchange != null && !exchange.ended) {
+            tally.add(Tally.Count.REFUSED);
             finish(exchange);
             exchange.client.refused(retryAfter);
         }
@@ -278,6 +302,7 @@
     public void fail(long id) {
         Exchange exchange = ledger.get(id);
         if (exchange != null && !exchange.ended) {
+            tally.add(Tally.Count.FAILED);
             finish(exchange);
             exchange.client.failed(exchange.late);
         }
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -76,16 +76,18 @@
     private final long grace;
     private final int most;
     private final Map<String, Peer> peers = new HashMap<>();
+    private final Tally tally;
     private final Consumer<String> faults;
     private int connections;
 
     /** Holds {@code most} connections; spans are in microseconds. */
-    HostPool(EventLoop loop, LongSupplier clock, long dialTimeout, long idle, long grace, int most,
+    HostPool(EventLoop loop, LongSupplier clock, long dialTimeout, long idle, long grace, int most, Tally tally,
             Consumer<String> faults) {
         this.loop = loop;
         this.clock = clock;
         this.grace = Math.max(0, grace - GRACE_SPARE);
         this.most = most;
+        this.tally = tally;
         this.faults = faults;
         idleMost = (long) (idle * IDLE_PART);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -153,6 +155,7 @@
         if (idle != null) {
             idle.write(attempt);
         } else if (connections >= most && !closeEldest()) {
+            tally.add(Tally.Count.HOST_NO_ROOM);
             attempt.end(Outcome.DIAL_FAILED, null);
         } else {
             dial(peer, attempt);
@@ -164,6 +167,8 @@
         InetSocketAddress at = peer.at;
         long born = peer.born;
         connections++;
+        tally.add(Tally.Count.HOST_DIALS);
+        tally.level(Tally.Level.HOST_CONNECTIONS, connections);
         ChannelFuture dialled = bootstrap.connect(at);
         attempt.channel = dialled.channel();
         dialled.addListener(done -> {
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -142,4 +142,17 @@
         }
         return events;
     }
+
+    /** Guards against a log that leaves an operator guessing where requests went. */
+    @Test
+    void theTallyTellsWhatWasCountedOnce() {
+        Tally tally = new Tally();
+        tally.add(Tally.Count.TAKEN);
+        tally.add(Tally.Count.TAKEN);
+        tally.add(Balancer.Outcome.SHED);
+        tally.level(Tally.Level.OPEN_REQUESTS, 2);
+        tally.level(Tally.Level.OPEN_REQUESTS, 1);
+        assertEquals("counts taken=2; attempts shed=1; most at once open_requests=2", tally.line());
+        assertEquals("", tally.line());
+    }
 }
