Start from an archive of loaded classes, which the build's rehearsal leaves

Cause: a start needs about 1.9 s of CPU, which at half a core is 4 to 5 s; the second gateway goes before the first is back. A third of it is loading and checking classes. Mend: the build plays the rehearsal once with -XX:ArchiveClassesAtExit, run maps the archive. Still bad: a start longer than 3 s leaves nobody for a while.

--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
@@ -20,13 +21,15 @@
     // Of the descriptors: for the program's own files, discovery, and connections that come and go.
     private static final int RESERVED = 96;
     private static final int STOP_SECONDS = 4;
+    private static final String REHEARSE = "rehearse";
 
     // Kept, since a logger that nobody holds forgets its level.
     private static final Logger LIBRARY_LOG = Logger.getLogger("io.netty");
 
     private Main() { }
 
-    /** Runs until SIGTERM; exits with status 2 where the configuration can't be run with. */
+    /** Runs until SIGTERM, or with {@code rehearse} until the rehearsal's end, by which the build learns what classes a
+        start loads; exits with status 2 where the configuration can't be run with. */
     public static void main(String[] args) {
         // The library logs a failed accept; out of descriptors the log's own files can't be opened, and the error that
         // comes of it would end the loop's thread and with it the gateway.
@@ -38,6 +41,9 @@
         try {
             Config config = Config.read(System.getenv());
             Rehearsal.play(config, loop(), System.out);
+            if (List.of(args).contains(REHEARSE)) {
+                System.exit(0);
+            }
             ClientSide clients = start(config, loop, System.out);
             started.complete(clients.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -28,6 +28,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -176,9 +177,10 @@
         }
     }
 
-    private Process start(Map<String, String> environment) throws IOException {
+    private Process start(Map<String, String> environment, String... arguments) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
                 System.getProperty("java.class.path"), "mastdrift.net.Main");
+        builder.command().addAll(List.of(arguments));
         builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
         builder.environment().putAll(environment);
         return builder.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "log")).start();
@@ -201,6 +203,26 @@
         }
     }
 
+    /** Guards against a start that loads and checks every class anew, for a third of its time: the build's rehearsal
+        runs with the file given to it, and 'run' maps the archive that the build leaves. */
+    @Test
+    void theBuildsRehearsalEndsAndItsArchiveIsTheOneInUse() throws Exception {
+        List<String> deploy = Files.readAllLines(Path.of("deploy/balancer.toml"), StandardCharsets.UTF_8);
+        String build = deploy.stream().filter(line -> line.startsWith("build = ")).findFirst().orElseThrow();
+        String run = deploy.stream().filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        String archive = build.replaceFirst(".*-XX:ArchiveClassesAtExit=(\\S+).*", "$1");
+        assertTrue(run.contains("-XX:SharedArchiveFile=" + archive + " "), run);
+        String file = build.replaceFirst(".*NODE_CONFIG=(\\S+).*", "$1");
+        Process process = start(Map.of("NODE_CONFIG", file), "rehearse");
+        try {
+            assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
+            assertEquals(0, process.exitValue(), log());
+            assertEquals("", log());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     @Test
     void sigtermEndsTheProgramWithStatus0() throws Exception {
         try (Server discovery = discovery(); Server one = host("one")) {
