Give a restarted host the share that its warmth allows, not none

Cause: a host that started anew got no share, and regained a tenth each half second, 5 s to a full one, though its warm-up is over in 1 s here; sessions of drained hosts went to the old ones and stayed. Its warmth already bounds what it is sent. A gateway that starts did the same to all restarted hosts.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -425,6 +425,7 @@
         sizeKinds();
         servers.values().forEach(this::estimate);
         setThreshold();
+        double rise = Math.max(RISE, REFRESH / (double) settings.rules().warmWithin());
         double fade = Math.min(1, HISTORY * servers.size() / Math.max(1, recentSum));
         recentSum = 0;
         shareSum = 0;
@@ -432,7 +433,7 @@
         queueSum = 0;
         for (Server server : servers.values()) {
             double target = target(now, server);
-            server.share = Math.min(target, server.share + RISE);
+            server.share = Math.min(target, server.share + rise);
             server.inSet = target > 0;
             shareSum += server.share;
             shareMost = Math.max(shareMost, server.share);
@@ -952,7 +953,7 @@
         servers.put(host.address(), server);
         if (fresh && host.born() > 0) {
             chill(now, server, host.born(), settings.rules().warmWithin());
-            server.share = 0;
+            server.share *= warmth(now, server);
         }
     }
 }
--- a/src/test/java/mastdrift/ColdHostTest.java
+++ b/src/test/java/mastdrift/ColdHostTest.java
@@ -57,4 +57,20 @@
             }
         }
     }
+
+    /** Guards against sessions that crowd on the hosts that a release has not reached yet: a host that is known to
+        be warm draws its share from the first request on, though it has started lately. */
+    @Test
+    void hostsThatAreWarmAgainDrawTheirShareAtOnce() {
+        Gateway gateway = new Gateway().start(0);
+        long restarted = gateway.now;
+        gateway.advance(11_000_000);
+        gateway.list(ListForm.FULL, Gateway.up(0, 0), Gateway.up(2, restarted), Gateway.up(4, restarted),
+                Gateway.up(6, restarted));
+        for (int i = 0; i < 80; i++) {
+            gateway.request(10_000L + i);
+        }
+        long first = gateway.sent.stream().filter(s -> s.address().equals("h0")).count();
+        assertTrue(first < 40, first + " of " + gateway.sent.size() + " on the host that did not start anew");
+    }
 }
