Refuse by how many keys are new, so that a queue is met before hosts jam

Cause: new keys were refused at twice the pressure, remembered ones from half of it on, which gives a part as large as the pressure if half of all keys are new. Here 200 to 290 keys are remembered for 30 s: nearly all are known, and almost nothing was refused before queues were full and hosts fell out of S*. Mend: the part of new keys is measured; new ones go first, remembered ones for the rest. With half of the keys new it is the formula as it was.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -121,6 +121,8 @@
     private final double[] served = new double[SERVED];
     private int servedCount;
     private int arrived;
+    private int arrivedNew;
+    private double newPart = 0.5;  // of what arrives, with keys not seen; until it is known, half
     private double few = SERVED_LEAST;
     private long tightestAim = Long.MAX_VALUE;
     private double retryBudget = BUDGET_MOST / 2;
@@ -197,6 +199,7 @@
         retryBudget = Math.min(BUDGET_MOST, retryBudget + RETRY_SHARE);
         probeBudget = Math.min(BUDGET_MOST, probeBudget + PROBE_SHARE);
         Session session = req.keyed ? sessions.get(key) : null;
+        arrivedNew += session == null ? 1 : 0;
         Server server = session == null ? null : stick(now, req, session);
         server = server == null ? draw(now, req) : server;
         boolean refused = server != null && refuses(now, req, share, session != null, server);
@@ -393,7 +396,8 @@
         double span = Math.max(1, now - refreshedAt) / 1e6;
         refreshedAt = now;
         few += EWMA * (Math.max(SERVED_LEAST, Math.min(SERVED_FEW, arrived)) - few);
-        arrived = 0;
+        newPart += arrived == 0 ? 0 : EWMA * ((double) arrivedNew / arrived - newPart);
+        arrived = arrivedNew = 0;
         kinds.values().forEach(Pool::clear);
         for (Server server : servers.values()) {
             if (server.unanswered >= SILENT && now - server.unansweredSince > DOWN_AFTER && !server.down) {
@@ -685,13 +689,15 @@
         return Math.max(0, server.wait - (now - server.waitAt));
     }
 
-    /** What is beyond a share first, up to FIRST that alone. Then new keys, rising; remembered ones only when
-        refusing all new ones isn't enough. */
+    /** What is beyond a share first, up to FIRST that alone. Of the rest a part as large as the pressure: new
+        keys first, and remembered ones for what refusing all new ones leaves. How much that is depends on how
+        many are new: where nearly all are known, little would be refused before hosts are jammed. */
     private boolean refuses(long now, Held req, Share share, boolean remembered, Server server) {
         boolean over = share != null && !req.within;
         double pressure = pressure(now, server);
         double own = share == null ? pressure : Math.max(0, (pressure - FIRST) / (1 - FIRST));
-        double chance = over ? OVER * pressure : remembered ? 2 * own - 1 : 2 * own;
+        double chance = over ? OVER * pressure
+                : remembered ? (own - newPart) / Math.max(1e-9, 1 - newPart) : own / Math.max(1e-9, newPart);
         if (chance > 0 && random.nextDouble() < chance * (1.2 - 0.4 * req.type.worth() / mostWorth)) {
             return true;
         }
--- a/src/test/java/mastdrift/AdmissionTest.java
+++ b/src/test/java/mastdrift/AdmissionTest.java
@@ -147,6 +147,18 @@
         assertTrue(refusedOld < refusedNew / 5, "old " + refusedOld + " new " + refusedNew);
     }
 
+    /** Guards against admission that waits for a jam where all keys are known and none are new to refuse: a queue
+        half way to a full one has some of the remembered ones refused. */
+    @Test
+    void rememberedSessionsAreRefusedBeforeAllQueuesAreFull() {
+        Gateway gateway = new Gateway().start(4);
+        warmUp(gateway, 400, 20_000);
+        for (int i = 0; i < 600; i++) {
+            answer(gateway, i % 100, "h", 100_000);
+        }
+        assertTrue(gateway.refused.size() > 10, "refused " + gateway.refused.size());
+    }
+
     private static void warmUp(Gateway gateway, int requests, long elapsed) {
         for (int i = 0; i < requests; i++) {
             answer(gateway, i % 100, "h", i < 100 ? 20_000 : elapsed);
