Close clients' connections at a stop before the kill, by the longest deadline

Cause: after SIGTERM connections stayed open for 1.5 s whatever the deadline, while SIGKILL may come 0.7 s and the longest deadline after it, here 1.37 s: it found requests in transit. The same sum left a deadline over 3 s uncapped. Mend: connections close at two thirds of the time by which all is answered.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -59,10 +59,11 @@
     private static final int WRITE_SECONDS = 10;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
-    // For so long clients are served on the connections that they have, since other gateways may be away as well; and
-    // all is answered so long after the longest deadline, before the program may be killed.
-    private static final long STOP_SERVING_MILLIS = 1500;
+    // For so long, at the most, clients are served on the connections that they have, since other gateways may be away
+    // as well; and all is answered so long after the longest deadline, before the program may be killed.
+    private static final long STOP_SERVING_MOST = 1_500_000;
     private static final long STOP_ANSWERED = 400_000;
+    private static final long DEADLINE_COUNTED = 3_000_000;  // a longer one puts off the kill no further
     // A request has to be whole so long after its connection came, or after its first byte on one in use: the bound is
     // not moved by what trickles in.
     private static final long WHOLE_IN = 2_000_000;
@@ -125,15 +126,25 @@
     /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. */
     void stop(Runnable then) {
         stopping = true;
-        answerBy = gateway.now() + STOP_ANSWERED
-                + classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+        long longest = classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+        answerBy = gateway.now() + stopAnswered(longest);
         loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
             closing = true;
             closeIdle();
             stopped = then;
             checkStopped();
-        }, STOP_SERVING_MILLIS, TimeUnit.MILLISECONDS);
+        }, stopServing(longest), TimeUnit.MICROSECONDS);
+    }
+
+    /** From the stop until all is answered: before the kill, which comes 0.7 s and the longest deadline after it. */
+    static long stopAnswered(long longestDeadline) {
+        return STOP_ANSWERED + Math.min(longestDeadline, DEADLINE_COUNTED);
+    }
+
+    /** From the stop until connections close, after which nothing more is taken: what came last has a third left. */
+    static long stopServing(long longestDeadline) {
+        return Math.min(STOP_SERVING_MOST, stopAnswered(longestDeadline) * 2 / 3);
     }
 
     private void closeIdle() {
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -177,6 +177,16 @@
         }
     }
 
+    /** Guards against requests that the kill finds: with short deadlines it comes before clients' connections were
+        closed at 1.5 s, and what crosses it is lost. Deadlines are in microseconds. */
+    @ParameterizedTest
+    @ValueSource(longs = {200_000, 670_000, 2_000_000, 3_000_000, 60_000_000})
+    void aStopTakesNothingMoreAndHasAnsweredAllBeforeTheKill(long deadline) {
+        long kill = Math.min(deadline, 3_000_000) + 700_000;
+        assertTrue(ClientSide.stopServing(deadline) < ClientSide.stopAnswered(deadline));
+        assertTrue(ClientSide.stopAnswered(deadline) <= kill - 300_000);
+    }
+
     private Process start(Map<String, String> environment, String... arguments) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
                 System.getProperty("java.class.path"), "mastdrift.net.Main");
