--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -18,8 +18,8 @@
 /** One real gateway: wires its parts, reads its configuration again at SIGHUP, and ends them at SIGTERM. */
 public final class Main {
 
-    // Of the descriptors: for the program's own files, discovery, and connections that come and go.
-    private static final int RESERVED = 96;
+    // Of the descriptors: for the program's own files (some 20), discovery, and connections that come and go.
+    private static final int RESERVED = 48;
     private static final int STOP_SECONDS = 4;
     private static final String REHEARSE = "rehearse";
 
@@ -73,12 +73,21 @@
         return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
 
+    /** The connections that clients may hold, and as many to hosts. */
+    static int connectionsMost(int sockets) {
+        return Math.max(8, (Math.min(sockets, 1 << 16) - RESERVED) / 2);
+    }
+
+    /** Of clients' connections an eighth is for answering those that come beyond the requests held. */
+    static int openMost(int connectionsMost) {
+        return connectionsMost - connectionsMost / 8;
+    }
+
     /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
     static ClientSide start(Config config, EventLoop loop, PrintStream out) {
-        // Of the clients' half, an eighth is for answering those that come beyond the requests held.
-        int most = Math.max(8, (Math.min(config.sockets(), 1 << 16) - RESERVED) / 2);
+        int most = connectionsMost(config.sockets());
         ClientSide clients = CompletableFuture.supplyAsync(() -> {
-            Gateway gateway = new Gateway(config, loop, new Balance(), most, most - most / 8, out);
+            Gateway gateway = new Gateway(config, loop, new Balance(), most, openMost(most), out);
             return new ClientSide(loop, gateway, config.settings(), most);
         }, loop).join();
         ChannelFuture bound = clients.listen(config.listen()).awaitUninterruptibly();
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -98,6 +98,16 @@
         }
     }
 
+    /** Guards against clients within their third of the descriptors that are refused or pushed out: each of them may have
+        a request open, and the program's own files and as many connections to hosts still fit. */
+    @ParameterizedTest
+    @ValueSource(ints = {256, 384, 1024})
+    void clientsMayHoldAThirdOfTheDescriptorsForRequests(int sockets) {
+        int most = Main.connectionsMost(sockets);
+        assertTrue(Main.openMost(most) >= sockets / 3, "requests " + Main.openMost(most));
+        assertTrue(2 * most + 40 <= sockets, "connections " + most);
+    }
+
     @Test
     void idleClientsMakeRoomAtTheBound() throws Exception {
         try (Server discovery = discovery(); Server one = host("one");
@@ -105,7 +115,7 @@
             Socket eldest = node.connect();
             write(eldest, read(20_000));
             assertEquals(200, Loopback.read(eldest).status());
-            for (int i = 0; i < 8; i++) {  // 112 descriptors leave 8 to clients
+            for (int i = 0; i < 8; i++) {  // 64 descriptors leave 8 to clients
                 assertEquals(200, node.ask(read(20_000)).status());
             }
             assertNull(Loopback.read(eldest));
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -193,7 +193,7 @@
     static Map<String, String> environment(Path folder, Server discovery, String known, String settings)
             throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, "{\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":112},"
+        Files.writeString(file, "{\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":64},"
                 + "\"known\":" + known + ",\"settings\":" + settings + "}");
         return Map.of("NODE_CONFIG", file.toString(), "NODE_LISTEN", "127.0.0.1:0",
                 "NODE_DISCOVERY", discovery.address());
