Weigh zones by the loads that the list tells, so that no zone's hosts choke

Evidence: loads of all hosts in the logs: at 8 s the gateways of one zone hold on to its hosts at 8 to 14 requests a core, where they choke, while hosts of the next zone hold 0.5 to 4; 15 s later the choked ones are still slow. Cause: Balance.target gave another zone 0.3 of a share whatever the loads. One gateway's preference is harmless; all of a zone's together overload it. The live weights tell what hosts hold, and were not read.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import mastdrift.State.Attempt;
 import mastdrift.State.Held;
 import mastdrift.State.Pool;
@@ -26,6 +27,7 @@
     private static final long WINDOW = 10_000_000;      // T: samples older than most troubles mislead
     private static final long KEY_MEMORY = 30_000_000;  // a key unseen for this long is a new session
     private static final long REPORT_FRESH = 1_000_000; // a queue reported earlier than this says nothing
+    private static final long LIST_FRESH = 3_000_000;   // nor do the loads in a list that came earlier
     private static final long DOWN_AFTER = 1_000_000;   // no answer for this long makes a refusal a sign
     private static final int SILENT = 3;                // attempts with no answer for so long: it is silent
     private static final long SUSPECT_SPAN = 6_000_000; // by then the registry has told of a restart
@@ -115,6 +117,9 @@
     private double theta = UNBOUNDED;
     private double aimUsual = UNBOUNDED;
     private double fleetFailing;
+    private boolean loadsListed;
+    private long listedAt;
+    private Map<String, Double> zoneLoads = Map.of();  // requests held a core, as the list tells
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(64, 0.75f, true);
     private final long[] servedAt = new long[SERVED];
@@ -161,6 +166,7 @@
         refreshedAt = now;
         actions.timer(now + 1 + random.nextLong(REFRESH), TIMER);
         weighted = given.weights() == Weights.NOMINAL || given.weights() == Weights.ROUGH;
+        loadsListed = given.weights() == Weights.LIVE;
         if (given.registryOnRequest()) {
             askAt = now + random.nextLong(given.rules().mustAskIn() / 4 + 1);
         }
@@ -347,6 +353,19 @@
         }
     }
 
+    /** Live weights are sizes over 1 + the requests that a host holds a core, all gateways' together, of which
+        none sees more than its own. A kind's highest weight is its size. */
+    private void learnLoads(long now) {
+        for (Server server : servers.values()) {
+            server.kind.weightMost = Math.max(server.kind.weightMost, server.host.weight());
+        }
+        boolean told = loadsListed && listedAt > 0 && now - listedAt < LIST_FRESH;
+        zoneLoads = !told ? Map.of() : servers.values().stream()
+                .filter(s -> s.host.health() == Health.UP && !s.down && s.host.weight() > 0)
+                .collect(Collectors.groupingBy(s -> s.host.zone(),
+                        Collectors.averagingDouble(s -> s.kind.weightMost / s.host.weight() - 1)));
+    }
+
     /** The server's own window; attempts still out count as at least their age, so a freeze shows early. */
     private void measure(long now, Server server) {
         double[] values = new double[SAMPLES + server.out.size()];
@@ -423,6 +442,7 @@
             double weight = rate > kind.rate ? EWMA : REFRESH / (double) settings.rules().warmWithin();
             kind.rate += kind.warm == 0 ? 0 : weight * (rate - kind.rate);
         }
+        learnLoads(now);
         if (now > idleUntil) {
             idleLimit = Long.MAX_VALUE;
         }
@@ -518,11 +538,19 @@
         if (server.down || server.host.health() != Health.UP || server.respTime > theta) {
             return 0;
         }
-        double near = server.host.zone().equals(settings.site().zone()) ? 1 : AWAY;
+        double near = near(server.host.zone());
         double size = near * server.kind.size * (weighted ? server.host.weight() : 1);
         return (theta - server.respTime) / theta * size * warmth(now, server) * server.serving;
     }
 
+    /** Crossing costs time and points, so home goes first; the less so the more it holds than the other zone.
+        All gateways of a zone hold on to it together, and would choke its hosts while others idle. */
+    private double near(String zone) {
+        String home = settings.site().zone();
+        double crowd = (1 + zoneLoads.getOrDefault(home, 0.0)) / (1 + zoneLoads.getOrDefault(zone, 0.0));
+        return zone.equals(home) ? 1 : AWAY * crowd;
+    }
+
     private double queue(long now, Server server) {
         return now - server.queueAt < REPORT_FRESH ? server.queue : 0;
     }
@@ -945,6 +973,7 @@
             servers.clear();
         }
         hosts.forEach(host -> admit(now, host, before.get(host.address())));
+        listedAt = form == ListForm.CACHED ? listedAt : now;
         seat();
     }
 
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -18,6 +18,7 @@
         double cpu;
         double size = 1;
         int reports;
+        double weightMost;  // in the list: of the host that holds least
         boolean heard;  // a report since the sizes were last turned
 
         void clear() {
--- a/src/test/java/mastdrift/Gateway.java
+++ b/src/test/java/mastdrift/Gateway.java
@@ -63,7 +63,9 @@
     int maxAttempts = 4;
     boolean retryAfter = true;
     int gateways = 1;
+    long seed = 42;
     long mustAskIn;
+    Weights weights = Weights.OFF;
     List<Tenant> tenants = List.of();
     List<RequestClass> classes;
 
@@ -78,8 +80,8 @@
                 new Rules(20_000, 250_000, mustAskIn, 0.2, 10_000_000, 3, 2_000_000),
                 new Value(new Goal(1, 0, 0, 0), new Prices(0, 0, 0, 0, 0, 0.01, 0, 0, 0, 0, 0), 0.05, false),
                 new Site(0, gateways, "z0", List.of("z0", "z1"), List.of("std"), 0, List.of("servers")),
-                new Habits(true, false, Reports.OFF, List.of(), false), mustAskIn > 0, Weights.OFF, "proxy",
-                1_000, 42);
+                new Habits(true, false, Reports.OFF, List.of(), false), mustAskIn > 0, weights, "proxy",
+                1_000, seed);
     }
 
     Gateway start(int hosts) {
