--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -353,8 +353,8 @@
         }
     }
 
-    /** Live weights are sizes over 1 + the requests that a host holds a core, all gateways' together, of which no
-        gateway sees more than its own. A kind's highest weight is its size. */
+    /** Live weights are sizes over 1 + the requests that a host holds a core: all gateways' together, of which
+        none sees more than its own. A kind's highest weight is its size. */
     private void learnLoads(long now) {
         for (Server server : servers.values()) {
             server.kind.weightMost = Math.max(server.kind.weightMost, server.host.weight());
