Give cold hosts a part of one core at least, and more while the list tells them idle

Evidence: loads of all hosts in the logs at 18 s: the 18 warm hosts hold 5 to 13 a core and have choked, the 36 cold ones hold 0 to 0.5, and restarted gateways had sent nearly all of them nothing for 5 s. Cause: coldAllows gives a part of what warm hosts of the kind served a second at this gateway: nothing at one that just started, and nearly nothing once the warm ones have choked. The budget is all gateways' together and was hardly touched. Mend: likeRate is at least this gateway's part of what one core does by the usual latency; a cold host's part grows a quarter with each list that tells it to hold less than one a core and falls by two steps else, up to the fall multiple. Ruled out: no host down, no connection refused; discovery answered within 2 s.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -66,6 +66,8 @@
     private static final double BUDGET_MOST = 20;       // what an unused budget may save up
     private static final int KEYS_MOST = 50_000;        // remembered keys, a bound on memory
     private static final double CREDIT = 0.8;           // part of that for cold hosts: their keys cost more
+    private static final double IDLE_MORE = 1.25;       // times its part, a list that tells a cold host idle
+    private static final double BUSY_LESS = 0.64;       // likewise where it tells it busy: two steps back
     private static final double EWMA = 0.2;             // weight of the newest refresh in send rates
     private static final double USUAL = 0.01;           // weight of one sample in a class's usual latency
     private static final double IDLE_KEEP = 0.9;        // of what idle connections told before
@@ -353,13 +355,22 @@
         }
     }
 
-    /** Live weights are sizes over 1 + the requests that a host holds a core: all gateways' together, of which
-        none sees more than its own. A kind's highest weight is its size. */
-    private void learnLoads(long now) {
+    /** Live weights are sizes over 1 + the requests that a host holds a core: all gateways' together, while
+        each knows no more than its own. A kind's highest weight is its size. */
+    private void learnLoads(long now, boolean listed) {
         for (Server server : servers.values()) {
             server.kind.weightMost = Math.max(server.kind.weightMost, server.host.weight());
         }
         boolean told = loadsListed && listedAt > 0 && now - listedAt < LIST_FRESH;
+        for (Server server : servers.values()) {
+            boolean idle = 2 * server.host.weight() > server.kind.weightMost;  // less than one a core
+            if (!told || server.coldSince == 0) {
+                server.idle = 1;
+            } else if (listed) {
+                double part = server.idle * (idle ? IDLE_MORE : BUSY_LESS);
+                server.idle = Math.max(1, Math.min(settings.rules().fallMultiple(), part));
+            }
+        }
         zoneLoads = !told ? Map.of() : servers.values().stream()
                 .filter(s -> s.host.health() == Health.UP && !s.down && s.host.weight() > 0)
                 .collect(Collectors.groupingBy(s -> s.host.zone(),
@@ -442,7 +453,7 @@
             double weight = rate > kind.rate ? EWMA : REFRESH / (double) settings.rules().warmWithin();
             kind.rate += kind.warm == 0 ? 0 : weight * (rate - kind.rate);
         }
-        learnLoads(now);
+        learnLoads(now, false);
         if (now > idleUntil) {
             idleLimit = Long.MAX_VALUE;
         }
@@ -865,7 +876,7 @@
         if (server.coldSince == 0 || warmth(now, server) == 1) {
             return true;
         }
-        double rate = CREDIT * warmth(now, server) * likeRate(server);
+        double rate = CREDIT * server.idle * warmth(now, server) * likeRate(server);
         double most = Math.max(1, rate * settings.rules().fallSpan() / 2e6);
         server.coldCredit = Math.min(most, server.coldCredit + rate * (now - server.creditAt) / 1e6);
         server.creditAt = now;
@@ -876,12 +887,13 @@
 
     /** What warm hosts of the kind last served a second. Not what they were sent: in an overload that is many
         times what they can do, and a cold host given its part of it falls. Kept while no host is warm, and
-        for about a warm-up when they serve less: in a collapse the newcomers are what ends it. */
+        for about a warm-up when they serve less: in a collapse the newcomers are what ends it. At the least
+        this gateway's part of what one core does: it may have just started, or all warm hosts have choked. */
     private double likeRate(Server server) {
-        if (server.kind.rate > 0) {
-            return server.kind.rate;
-        }
-        return kinds.values().stream().filter(k -> k.rate > 0).mapToDouble(k -> k.rate).min().orElse(0);
+        double known = server.kind.rate > 0 ? server.kind.rate
+                : kinds.values().stream().filter(k -> k.rate > 0).mapToDouble(k -> k.rate).min().orElse(0);
+        double oneCore = 1e6 / Arrays.stream(usual).max().orElse(1e6);
+        return Math.max(known, oneCore / settings.site().gateways());
     }
 
     /** The least part of its capacity that a host can have by now. */
@@ -974,6 +986,7 @@
         }
         hosts.forEach(host -> admit(now, host, before.get(host.address())));
         listedAt = form == ListForm.CACHED ? listedAt : now;
+        learnLoads(now, loadsListed && form != ListForm.CACHED);
         seat();
     }
 
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -54,6 +54,7 @@
         long coldSince;
         long coldSpan;
         double coldCredit;
+        double idle = 1;  // times its part while cold, as the list tells it idle
         long creditAt;
         int delivered;
         long overtook;  // what was sent before this was overtaken by an answer: lost
--- a/src/test/java/mastdrift/FleetTest.java
+++ b/src/test/java/mastdrift/FleetTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
@@ -27,6 +29,46 @@
         assertTrue(partAway(fleet, 4, 4) < 0.35, "away while both are alike crowded");
     }
 
+    /** Guards against a release after which all gateways start among cold hosts: none has served anything, so none knew
+        a rate, and all left these hosts idle. What all send together keeps to the budget: with one served in 25 ms, a
+        host of one core does 40 a second when warm. */
+    @Test
+    void aFleetThatStartsAmongColdHostsUsesThemWithinTheirBudget() {
+        List<Gateway> fleet = fleet(14);
+        int most = mostToOneColdHostInTwoSeconds(fleet, 0);
+        double capacity = 40 * (0.2 + 0.8 * 0.3);  // a second, after 3 s of the 10 s that warming takes
+        assertTrue(most > 1, "sent to a cold host: " + most);
+        assertTrue(most <= 3 * 2 * capacity, "sent to a cold host in 2 s: " + most);
+    }
+
+    /** Guards against cold hosts that stay idle beside choked ones: what the list tells of them says when they can take
+        more, and when they can't. */
+    @Test
+    void coldHostsThatIdleAreSentMoreAndBusyOnesAreNot() {
+        int idle = mostToOneColdHostInTwoSeconds(fleet(14), 0);
+        int busy = mostToOneColdHostInTwoSeconds(fleet(14), 3);
+        assertTrue(idle > 2 * busy, "idle " + idle + " busy " + busy);
+    }
+
+    /** Five seconds among hosts that have just started; of the last two of them, the most that gateways sent to one host
+        that holds this load. Each gateway takes 40 requests a second, served within 25 ms. */
+    private static int mostToOneColdHostInTwoSeconds(List<Gateway> fleet, double load) {
+        Map<String, Integer> sent = new HashMap<>();
+        for (Gateway gateway : fleet) {
+            long born = gateway.now;
+            for (int i = 0; i < 200; i++) {
+                if (i % 20 == 0) {
+                    gateway.list(ListForm.FULL, IntStream.range(0, HOSTS).mapToObj(h -> new Host("h" + h, "z" + h % 2,
+                            h / 4, "std", 2 / (1 + (h < 10 ? 0 : load)), Health.UP, born)).toArray(Host[]::new));
+                }
+                gateway.serve(1, 25_000, 25_000);
+            }
+            gateway.sent.stream().filter(s -> s.at() >= born + 3_000_000 && s.address().length() == 3)
+                    .forEach(s -> sent.merge(s.address(), 1, Integer::sum));
+        }
+        return sent.values().stream().mapToInt(n -> n).max().orElse(0);
+    }
+
     private static List<Gateway> fleet(int gateways) {
         List<Gateway> fleet = new ArrayList<>();
         for (int i = 0; i < gateways; i++) {
