Count what a host is listed to hold beyond one a core as its queue

Cause: Balance.waiting knows queues from own answers alone: about one a second and host at 60 hosts, so a crowd that all gateways make is learned too late. Mend: of the listed load, what is beyond one a core waits, each for as long as one takes on an idle host; the longer of both queues counts, as before.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -121,6 +121,7 @@
     private double fleetFailing;
     private boolean loadsListed;
     private long listedAt;
+    private double unhindered;  // microseconds that a request takes on a host that holds no other
     private Map<String, Double> zoneLoads = Map.of();  // requests held a core, as the list tells
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(64, 0.75f, true);
@@ -361,7 +362,7 @@
         for (Server server : servers.values()) {
             server.kind.weightMost = Math.max(server.kind.weightMost, server.host.weight());
         }
-        boolean told = loadsListed && listedAt > 0 && now - listedAt < LIST_FRESH;
+        boolean told = loadsTold(now);
         for (Server server : servers.values()) {
             boolean idle = 2 * server.host.weight() > server.kind.weightMost;  // less than one a core
             if (!told || server.coldSince == 0) {
@@ -371,12 +372,20 @@
                 server.idle = Math.max(1, Math.min(settings.rules().fallMultiple(), part));
             }
         }
+        double mean = servers.values().stream()
+                .filter(s -> s.host.health() == Health.UP && s.host.weight() > 0)
+                .mapToDouble(s -> s.kind.weightMost / s.host.weight()).average().orElse(1);
+        unhindered = Arrays.stream(usual).average().orElse(0) / mean;
         zoneLoads = !told ? Map.of() : servers.values().stream()
                 .filter(s -> s.host.health() == Health.UP && !s.down && s.host.weight() > 0)
                 .collect(Collectors.groupingBy(s -> s.host.zone(),
                         Collectors.averagingDouble(s -> s.kind.weightMost / s.host.weight() - 1)));
     }
 
+    private boolean loadsTold(long now) {
+        return loadsListed && listedAt > 0 && now - listedAt < LIST_FRESH;
+    }
+
     /** The server's own window; attempts still out count as at least their age, so a freeze shows early. */
     private void measure(long now, Server server) {
         double[] values = new double[SAMPLES + server.out.size()];
@@ -729,9 +738,13 @@
         server.leastOf = 0;
     }
 
-    /** A queue that nobody adds to drains as time goes by. */
-    private static double waiting(long now, Server server) {
-        return Math.max(0, server.wait - (now - server.waitAt));
+    /** A queue that nobody adds to drains as time goes by. Where the list tells loads, what a host holds
+        beyond one a core waits, each for as long as one takes unhindered: the crowd of all gateways, of which
+        each sees few answers and late. */
+    private double waiting(long now, Server server) {
+        double told = loadsTold(now) && server.host.weight() > 0
+                ? (server.kind.weightMost / server.host.weight() - 2) * unhindered : 0;
+        return Math.max(Math.max(0, told), server.wait - (now - server.waitAt));
     }
 
     /** What is beyond a share first, up to FIRST that alone. Of the rest a part as large as the pressure: new
--- a/src/test/java/mastdrift/FleetTest.java
+++ b/src/test/java/mastdrift/FleetTest.java
@@ -29,6 +29,28 @@
         assertTrue(partAway(fleet, 4, 4) < 0.35, "away while both are alike crowded");
     }
 
+    /** Guards against hosts that choke before any gateway refuses: each sees a few of a host's answers, quick ones here,
+        and learns of the crowd that all make together from the list. */
+    @Test
+    void hostsThatTheListTellsToBeCrowdedAreRefusedBeforeOwnAnswersTellIt() {
+        int refused = 0;
+        int calm = 0;
+        for (Gateway gateway : fleet(5)) {
+            for (int i = 0; i < 400; i++) {
+                calm = i < 200 ? gateway.refused.size() : calm;
+                if (i % 20 == 0) {
+                    double load = i < 200 ? 0.5 : 9;
+                    gateway.list(ListForm.FULL, IntStream.range(0, HOSTS).mapToObj(h -> new Host("h" + h, "z" + h % 2, h / 4,
+                            "std", 2 / (1 + (h < 2 ? 0 : h < 50 ? 0.5 : load)), Health.UP, 0)).toArray(Host[]::new));
+                }
+                gateway.serve(1, 40_000, 40_000);
+            }
+            assertTrue(calm == 0, "refused while no host is crowded: " + calm);
+            refused += gateway.refused.size();
+        }
+        assertTrue(refused > 50, "refused of 1000 with ten of 60 hosts crowded: " + refused);
+    }
+
     /** Guards against a release after which all gateways start among cold hosts: none has served anything, so none knew
         a rate, and all left these hosts idle. What all send together keeps to the budget: with one served in 25 ms, a
         host of one core does 40 a second when warm. */
