Answer operators' calls, tell figures, and drain without a restart

Nothing listened at 'admin', so each call failed, and clients went on being sent to a gateway told to drain. Now Life owns the state, Admin answers on a loop of its own, and Tally counts from the start on; the module is asked how many hosts it leaves out (Balancer.excluded).

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -274,6 +274,11 @@
         }
     }
 
+    @Override
+    public int excluded(long now) {
+        return (int) servers.values().stream().filter(server -> target(now, server) == 0).count();
+    }
+
     // ---- server estimate: resp_time(s)
 
     private void settle(long now, Held req, Attempt attempt, Outcome outcome, long elapsed) {
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -186,4 +186,7 @@
 
     /** A timer that was asked for is due. */
     void timer(long now, String handle);
+
+    /** How many hosts of the list get nothing new at present; changes nothing. */
+    int excluded(long now);
 }
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -32,6 +32,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.TimeoutException;
 import io.netty.handler.timeout.WriteTimeoutHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -69,6 +70,11 @@
     private static final long WHOLE_IN = 2_000_000;
     private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
     private static final long SWEEP_MILLIS = 250;
+    // A drain has 4 s to leave no client here. New connections come until the front has heard: answers tell clients to
+    // leave from then on, and what nobody asks on by the second moment is closed.
+    private static final long DRAIN_CLOSING_MILLIS = 500;
+    private static final long DRAIN_IDLE_MILLIS = 1500;
+    private static final long DRAINED_IDLE_MOST = 250_000;
     private static final String TRACE = "X-Trace-Id";
     private static final String REPEAT_KEY = "Idempotency-Key";
     private static final String EXPIRES = HostPool.EXPIRES;
@@ -78,6 +84,7 @@
     private final EventLoop loop;
     private final Gateway gateway;
     private final int most;
+    private final Life life;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final Set<Connection> connections = new HashSet<>();
@@ -85,16 +92,19 @@
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();  // the longest idle first
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
-    private boolean stopping;
-    private boolean closing;
+    private boolean accepting = true;
+    private boolean closing;  // each answer is the last on its connection
+    private boolean drained;  // nobody should be here any more
+    private Future<?> drain;
     private long answerBy = Long.MAX_VALUE;
     private Runnable stopped;
 
     /** Holds about {@code most} connections. */
-    ClientSide(EventLoop loop, Gateway gateway, Settings settings, int most) {
+    ClientSide(EventLoop loop, Gateway gateway, Settings settings, int most, Life life) {
         this.loop = loop;
         this.gateway = gateway;
         this.most = most;
+        this.life = life;
         settings.classes().forEach(type -> classes.put(type.name(), type));
         settings.tenants().stream().map(Tenant::name).forEach(tenants::add);
     }
@@ -123,9 +133,32 @@
         return bound;
     }
 
+    /** Hears of a standby and of its end; on the loop, each time that either was asked for. */
+    void drainOrNot() {
+        if (life.state() == Life.State.STANDBY && drain == null) {
+            gateway.log("standby");
+            drain = loop.schedule(() -> {
+                closing = true;
+                drain = loop.schedule(() -> {
+                    drained = true;
+                    closeIdle();
+                }, DRAIN_IDLE_MILLIS - DRAIN_CLOSING_MILLIS, TimeUnit.MILLISECONDS);
+            }, DRAIN_CLOSING_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (life.state() == Life.State.ACTIVE && drain != null) {
+            gateway.log("active");
+            drain.cancel(false);
+            drain = null;
+            closing = false;
+            drained = false;
+        }
+    }
+
     /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. */
     void stop(Runnable then) {
-        stopping = true;
+        life.stop();
+        if (drain != null) {
+            drain.cancel(false);
+        }
         long longest = classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
         answerBy = gateway.now() + stopAnswered(longest);
         loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
@@ -147,9 +180,10 @@
         return Math.min(STOP_SERVING_MOST, stopAnswered(longestDeadline) * 2 / 3);
     }
 
+    /** Not those that are sending a request: it is answered, and then they close. */
     private void closeIdle() {
-        List.copyOf(silent).forEach(connection -> connection.channel.close());
-        List.copyOf(idle).forEach(connection -> connection.channel.close());
+        Stream.concat(silent.stream(), idle.stream()).filter(connection -> connection.partSince == 0).toList()
+                .forEach(connection -> connection.channel.close());
     }
 
     private void closeOverdue() {
@@ -222,8 +256,10 @@
 
         /** Without a word: a 408 might cross a request, and be taken for its answer. */
         private void closeOverdue(long now) {
-            boolean part = partSince != 0 && now - partSince > WHOLE_IN;
-            if (current == null && (part || now - idleSince > (silent.contains(this) ? WHOLE_IN : IDLE_MOST))) {
+            long idleMost = silent.contains(this) ? WHOLE_IN : IDLE_MOST;
+            boolean over = now - idleSince > idleMost || partSince != 0 && now - partSince > WHOLE_IN
+                    || drained && partSince == 0 && now - idleSince > DRAINED_IDLE_MOST;
+            if (current == null && over) {
                 channel.close();
             }
         }
@@ -234,7 +270,7 @@
             silent.remove(this);
             idle.remove(this);
             open.remove(id);
-            if (connections.size() <= most) {
+            if (connections.size() <= most && accepting) {
                 server.config().setAutoRead(true);
             }
             waiting.forEach(arrived -> arrived.message.release());
@@ -298,7 +334,7 @@
             } else if (path.equals("/ready")) {
                 boolean get = message.method().equals(HttpMethod.GET);
                 plain(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
-                        : stopping ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, false);
+                        : life.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, false);
             } else if (path.equals("/api") || path.startsWith("/api/")) {
                 take(message, gateway.now() - arrived.at);
             } else {
--- a/src/main/java/mastdrift/net/Config.java
+++ b/src/main/java/mastdrift/net/Config.java
@@ -15,11 +15,15 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.stream.Collectors;
+import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Settings;
 import mastdrift.wire.Facts;
 
-/** What a gateway is told at its start; throws IllegalArgumentException with one plain line where it can't be read. */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, int sockets, HostList known, Settings settings) {
+/** What a gateway is told at its start; throws IllegalArgumentException with one plain line where it can't be read.
+    Where operators call is null where they don't, and {@code passedSocket} tells that the platform holds the clients'
+    listening socket and has passed it on as descriptor 0. */
+record Config(InetSocketAddress listen, boolean passedSocket, InetSocketAddress admin, InetSocketAddress discovery,
+        int sockets, HostList known, Settings settings) {
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
     static Config read(Map<String, String> environment) {
@@ -32,13 +36,22 @@
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("settings: expected " + e.getMessage(), e);
         }
+        String admin = environment.getOrDefault("NODE_ADMIN", text(root, "admin"));
         return new Config(address(environment.getOrDefault("NODE_LISTEN", text(root, "listen"))),
+                !environment.getOrDefault("NODE_PASSED_SOCKET", "").isEmpty(), admin.isEmpty() ? null : address(admin),
                 address(environment.getOrDefault("NODE_DISCOVERY", text(root, "discovery"))),
                 root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
                         ? sockets : Integer.MAX_VALUE,
                 HostList.parse(root.get("known")), settings);
     }
 
+    /** Counts for a gateway so configured: begun before the gateway, since operators may ask for them before. */
+    Tally tally() {
+        Tally tally = new Tally(settings.classes().stream().map(RequestClass::name).toList());
+        tally.set(Tally.Gauge.HOSTS_KNOWN, known.entries().size());
+        return tally;
+    }
+
     /** Where the file says by now that discovery is. */
     static InetSocketAddress discovery(Map<String, String> environment) {
         return address(text(file(environment), "discovery"));
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -41,6 +41,7 @@
     // A probe is answered beside the queue: no answer by then is none.
     private static final long PROBE_TIMEOUT = 250_000;
     private static final long TALLY_SECONDS = 5;
+    private static final long FIGURES_MILLIS = 200;  // figures may lag by half a second
     private static final String[] PASSED_ON = {"X-Trace-Id", "Idempotency-Key"};
 
     /** Where the one final answer goes. */
@@ -57,6 +58,7 @@
     final class Exchange {
         private final long id = nextId++;
         private final Client client;
+        private final String className;
         private final FullHttpRequest message;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(2);
         private Future<?> backstop;
@@ -64,8 +66,9 @@
         private boolean late;
         private boolean ended;
 
-        private Exchange(Client client, FullHttpRequest message) {
+        private Exchange(Client client, String className, FullHttpRequest message) {
             this.client = client;
+            this.className = className;
             this.message = message;
         }
 
@@ -85,7 +88,7 @@
     private final HostPool hosts;
     private final Discovery discovery;
     private final Settings settings;
-    private final Tally tally = new Tally();
+    private final Tally tally;
     private final int openMost;
     private final Map<Long, Exchange> ledger = new HashMap<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
@@ -95,8 +98,10 @@
     private final long startedAt = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
 
     /** Starts the module; on the loop's thread. */
-    Gateway(Config config, EventLoop loop, Balancer module, int hostConnections, int openMost, PrintStream out) {
+    Gateway(Config config, EventLoop loop, Balancer module, Tally tally, int hostConnections, int openMost,
+            PrintStream out) {
         this.loop = loop;
+        this.tally = tally;
         this.module = module;
         this.out = out;
         settings = config.settings();
@@ -123,6 +128,12 @@
         return tally;
     }
 
+    /** Keeps the figures fresh that are not counted but looked at. */
+    void keepFigures() {
+        loop.scheduleWithFixedDelay(() -> tally.set(Tally.Gauge.HOSTS_EXCLUDED, module.excluded(now())), 0,
+                FIGURES_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void logTally() {
         String line = tally.line();
         if (!line.isEmpty()) {
@@ -146,6 +157,7 @@
                 log("fault in an event: " + fault + Arrays.stream(fault.getStackTrace()).limit(1).toList());
                 if (exchange != null && !exchange.ended) {
                     finish(exchange);
+                    tally.add(exchange.className, Tally.Ended.FAILED);
                     exchange.client.failed(false);
                     event(null, now -> module.departed(now, exchange.id));
                 }
@@ -166,6 +178,7 @@
 
     private void learn(HostList list, ListForm form) {
         hosts.update(list);
+        tally.set(Tally.Gauge.HOSTS_KNOWN, hosts.known());
         log("list " + list.rev() + ": " + list.entries().size() + (list.all() ? " hosts" : " changes"));
         event(null, now -> module.hosts(now, form, list.entries().stream().map(HostList.Entry::host).toList()));
     }
@@ -181,17 +194,20 @@
         tally.add(Tally.Count.TAKEN);
         if (open >= openMost) {
             tally.add(Tally.Count.REFUSED_AT_BOUND);
+            tally.add(className, Tally.Ended.REFUSED);
             client.refused(settings.limits().maxRetryAfter());
             return null;
         }
         long kept = left - MARGIN;
         if (kept <= 0) {
             tally.add(Tally.Count.OVERDUE);
+            tally.add(className, Tally.Ended.FAILED);
             client.failed(true);
             return null;
         }
-        Exchange exchange = new Exchange(client, message.retain());
+        Exchange exchange = new Exchange(client, className, message.retain());
         open++;
+        tally.set(Tally.Gauge.IN_FLIGHT, open);
         tally.level(Tally.Level.OPEN_REQUESTS, open);
         ledger.put(exchange.id, exchange);
         exchange.backstop = loop.schedule(() -> overdue(exchange), kept + BACKSTOP, TimeUnit.MICROSECONDS);
@@ -206,6 +222,7 @@
         if (!exchange.ended) {
             tally.add(Tally.Count.OVERDUE);
             finish(exchange);
+            tally.add(exchange.className, Tally.Ended.FAILED);
             exchange.client.failed(true);
             event(null, now -> module.departed(now, exchange.id));
         }
@@ -216,6 +233,7 @@
         exchange.backstop.cancel(false);
         exchange.message.release();
         open--;
+        tally.set(Tally.Gauge.IN_FLIGHT, open);
         forget(exchange);
     }
 
@@ -232,8 +250,8 @@
         exchange.late = outcome == Outcome.EXPIRED;
         tally.add(outcome);
         if (outcome == Outcome.DELIVERED && !exchange.ended) {
-            tally.add(Tally.Count.SERVED);
             finish(exchange);
+            tally.add(exchange.className, Tally.Ended.SERVED);
             exchange.client.served(answer);
         }
         event(exchange, now -> {
@@ -257,8 +275,17 @@
         long sentAt = now();
         boolean refused = exchange.ended || number >= settings.limits().maxAttempts();
         FullHttpRequest message = onward(exchange);
-        exchange.attempts.add(hosts.send(uid, message, refused ? 0 : timeout,
-                (outcome, answer) -> resolved(exchange, number, uid, sentAt, outcome, answer)));
+        exchange.attempts.add(hosts.send(uid, message, refused ? 0 : timeout, new HostPool.Ended() {
+            @Override
+            public void written() {
+                tally.add(Tally.Count.ATTEMPTS_WRITTEN);
+            }
+
+            @Override
+            public void ended(Outcome outcome, FullHttpResponse answer) {
+                resolved(exchange, number, uid, sentAt, outcome, answer);
+            }
+        }));
         exchange.out++;  // only now: of what could not be sent there is no outcome
     }
 
@@ -292,8 +319,8 @@
     public void refuse(long id, long retryAfter) {
         Exchange exchange = ledger.get(id);
         if (exchange != null && !exchange.ended) {
-            tally.add(Tally.Count.REFUSED);
             finish(exchange);
+            tally.add(exchange.className, Tally.Ended.REFUSED);
             exchange.client.refused(retryAfter);
         }
     }
@@ -302,8 +329,8 @@
     public void fail(long id) {
         Exchange exchange = ledger.get(id);
         if (exchange != null && !exchange.ended) {
-            tally.add(Tally.Count.FAILED);
             finish(exchange);
+            tally.add(exchange.className, Tally.Ended.FAILED);
             exchange.client.failed(exchange.late);
         }
     }
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -59,6 +59,9 @@
 
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
     interface Ended {
+        /** The attempt's last byte has been written, which its end may precede. */
+        default void written() { }
+
         void ended(Outcome outcome, FullHttpResponse answer);
     }
 
@@ -137,6 +140,10 @@
         }
     }
 
+    int known() {
+        return peers.size();
+    }
+
     private void leave(Peer peer) {
         peer.sendUntil = Math.min(peer.sendUntil, clock.getAsLong() + grace);
         closeIdle(peer);
@@ -349,7 +356,9 @@
                     .set(EXPIRES, Math.max(1, (next.ends - now) / 1000));
             channel.writeAndFlush(next.message).addListener(done -> {
                 next.written = done.isSuccess();
-                if (!done.isSuccess()) {
+                if (next.written) {
+                    next.ended.written();
+                } else {
                     channel.close();
                 }
             });
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -35,16 +35,22 @@
         // comes of it would end the loop's thread and with it the gateway.
         LIBRARY_LOG.setLevel(Level.OFF);
         EventLoop loop = loop();
+        Life life = new Life();
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         // First of all, or the signal would end the program. One that comes during the start is heard after it.
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
         try {
             Config config = Config.read(System.getenv());
+            Tally tally = config.tally();
+            if (config.admin() != null) {
+                Admin admin = Admin.open(config.admin(), loop(), life, tally);
+                System.out.println("operators may call " + admin.address());
+            }
             Rehearsal.play(config, loop(), System.out);
             if (List.of(args).contains(REHEARSE)) {
                 System.exit(0);
             }
-            ClientSide clients = start(config, loop, System.out);
+            ClientSide clients = start(config, loop, life, tally, System.out);
             started.complete(clients.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
         } catch (IllegalArgumentException | CompletionException e) {
@@ -64,7 +70,9 @@
         try {
             InetSocketAddress discovery = Config.discovery(System.getenv());
             loop.execute(() -> gateway.discoverAt(discovery));
+            gateway.tally().add(Tally.Count.RELOADS_OK);
         } catch (IllegalArgumentException e) {
+            gateway.tally().add(Tally.Count.RELOADS_FAILED);
             System.out.println("configuration not taken: " + e.getMessage());
         }
     }
@@ -84,11 +92,14 @@
     }
 
     /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
-    static ClientSide start(Config config, EventLoop loop, PrintStream out) {
+    static ClientSide start(Config config, EventLoop loop, Life life, Tally tally, PrintStream out) {
         int most = connectionsMost(config.sockets());
         ClientSide clients = CompletableFuture.supplyAsync(() -> {
-            Gateway gateway = new Gateway(config, loop, new Balance(), most, openMost(most), out);
-            return new ClientSide(loop, gateway, config.settings(), most);
+            Gateway gateway = new Gateway(config, loop, new Balance(), tally, most, openMost(most), out);
+            if (config.admin() != null) {
+                gateway.keepFigures();
+            }
+            return new ClientSide(loop, gateway, config.settings(), most, life);
         }, loop).join();
         ChannelFuture bound = clients.listen(config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -96,6 +107,7 @@
                     bound.cause());
         }
         out.println("listening on " + clients.address());
+        life.started(() -> loop.execute(clients::drainOrNot));
         return clients;
     }
 
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -61,11 +61,15 @@
             InetSocketAddress at = (InetSocketAddress) host.localAddress();
             List<HostList.Entry> hosts = IntStream.range(0, HOSTS).mapToObj(i -> new HostList.Entry(
                     new Host("rehearsal-" + i, config.settings().site().zone(), 0, "", 1, Health.UP, 0), at)).toList();
-            Config rehearsed = new Config(any, at, config.sockets(), new HostList(0, true, hosts), config.settings());
+            Config rehearsed = new Config(any, false, null, at, config.sockets(), new HostList(0, true, hosts),
+                    config.settings());
             PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
+            Life life = new Life();
             ClientSide clients = CompletableFuture.supplyAsync(() -> new ClientSide(loop, new Gateway(rehearsed, loop,
-                    new Balance(), HOSTS * 2, HOSTS, silent), config.settings(), HOSTS), loop).join();
+                    new Balance(), rehearsed.tally(), HOSTS * 2, HOSTS, silent), config.settings(), HOSTS, life), loop)
+                    .join();
             clients.listen(any).sync();
+            life.started(() -> { });
             ask(clients.address(), config);
         } catch (IOException e) {
             out.println("rehearsal ended early: " + e);
--- /dev/null
+++ b/src/test/java/mastdrift/net/AdminTest.java
@@ -0,0 +1,244 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.await;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.host;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.post;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import mastdrift.net.Loopback.Message;
+import mastdrift.net.Loopback.Node;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What operators call, and what they are told. */
+class AdminTest {
+
+    @TempDir
+    private Path folder;
+
+    private Map<String, String> called(Server discovery, Server... hosts) throws Exception {
+        List<String> entries = new ArrayList<>();
+        for (Server host : hosts) {
+            entries.add(entry("s" + entries.size(), host.address(), "a", "in_service"));
+        }
+        Map<String, String> environment = new HashMap<>(environment(folder, discovery,
+                list(1, true, entries.toArray(new String[0])), SETTINGS));
+        environment.put("NODE_ADMIN", "127.0.0.1:0");
+        return environment;
+    }
+
+    private static String figure(Node node, String name) throws Exception {
+        return node.call("GET /status/metrics").text().lines().filter(line -> line.startsWith("edge_node_" + name + " "))
+                .map(line -> line.substring(line.lastIndexOf(' ') + 1)).findFirst().orElse("not told");
+    }
+
+    /** A count follows the answer within half a second: asked for until it is there. */
+    private static void awaitFigure(Node node, String name, String value) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(Loopback.WAIT_SECONDS);
+        for (String got = figure(node, name); !got.equals(value); got = figure(node, name)) {
+            assertTrue(System.nanoTime() < until, name + " is " + got + ", not " + value);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET /status, 200", "GET /status/metrics?x=1, 200", "POST /active, 200", "GET /elsewhere, 404",
+        "POST /status, 405", "GET /standby, 405", "nonsense, 400"})
+    void eachCallHasItsAnswer(String call, int status) throws Exception {
+        try (Server discovery = discovery(); Node node = new Node(called(discovery))) {
+            Message answer = node.call(call);
+            assertEquals(status, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertEquals(-1, answer.socket().isClosed() ? -1 : answer.socket().getInputStream().read());
+        }
+    }
+
+    /** Guards against calls that wait for the start's end, or for the clients' loop. */
+    @Test
+    void callsAreAnsweredBeforeTheStartAndWhileTheGatewayIsBusy() throws Exception {
+        try (Server discovery = discovery()) {
+            EventLoop loop = Main.loop();
+            Life life = new Life();
+            Config config = Config.read(called(discovery));
+            Admin admin = Admin.open(config.admin(), loop, life, config.tally());
+            try (Socket early = new Socket(admin.address().getAddress(), admin.address().getPort())) {
+                write(early, "GET /status HTTP/1.1\r\nHost: s\r\n\r\n");
+                assertEquals(503, Loopback.read(early).status());
+            } finally {
+                loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+            }
+            CountDownLatch busy = new CountDownLatch(1);
+            try (Node node = new Node(called(discovery))) {
+                node.loop.execute(() -> {
+                    try {
+                        busy.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                assertEquals(200, node.call("GET /status").status());
+                assertEquals("0", figure(node, "in_flight"));
+                busy.countDown();
+            }
+        }
+    }
+
+    /** Guards against callers that say nothing or half a call: each gets a close, and a flood keeps no proper one out. */
+    @Test
+    void silentCallersAreClosedAndDoNotKeepOthersOut() throws Exception {
+        try (Server discovery = discovery(); Node node = new Node(called(discovery))) {
+            List<Socket> silent = new ArrayList<>();
+            for (int i = 0; i < 3 * Admin.CONNECTIONS_MOST; i++) {
+                Socket caller = new Socket(node.admin.address().getAddress(), node.admin.address().getPort());
+                caller.setSoTimeout(Loopback.WAIT_SECONDS * 1000);
+                write(caller, i % 2 == 0 ? "" : "GET /sta");
+                silent.add(caller);
+            }
+            assertEquals(200, node.call("GET /status").status());
+            for (Socket caller : silent) {
+                assertNull(Loopback.read(caller));
+                caller.close();
+            }
+        }
+    }
+
+    @Test
+    void figuresTellWhatClientsAndHostsSaw() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Node node = new Node(called(discovery, one))) {
+            assertEquals("0", figure(node, "requests_total{class=\"once\",outcome=\"failed\"}"));
+            assertEquals("0", figure(node, "attempts_total"));
+            assertEquals("1", figure(node, "hosts_known"));
+            assertEquals(200, node.ask(read(20_000)).status());
+            assertEquals(200, node.ask(post("once", 20_000, "body")).status());
+            awaitFigure(node, "requests_total{class=\"read\",outcome=\"served\"}", "1");
+            awaitFigure(node, "requests_total{class=\"once\",outcome=\"served\"}", "1");
+            awaitFigure(node, "attempts_total", "2");
+            awaitFigure(node, "in_flight", "0");
+        }
+    }
+
+    /** Guards against figures that leave out what no host was asked for, or what the client didn't wait for. */
+    @Test
+    void refusedAndOpenRequestsAreCounted() throws Exception {
+        try (Server discovery = discovery(); Server silent = new Server(message -> { });
+                Node node = new Node(called(discovery, silent))) {
+            Socket open = node.connect();
+            write(open, read(60_000));
+            await(silent.received);
+            awaitFigure(node, "in_flight", "1");
+            assertEquals(504, node.ask(read(1).replace("9b1f", "9b20")).status());
+            awaitFigure(node, "requests_total{class=\"read\",outcome=\"failed\"}", "1");
+            open.close();
+            awaitFigure(node, "in_flight", "0");
+            assertEquals("0", figure(node, "requests_total{class=\"read\",outcome=\"served\"}"));
+        }
+        try (Server discovery = discovery(); Node node = new Node(called(discovery))) {
+            assertEquals(503, node.ask(read(20_000)).status());
+            awaitFigure(node, "requests_total{class=\"read\",outcome=\"refused\"}", "1");
+        }
+    }
+
+    @Test
+    void listedHostsThatGetNothingAreExcluded() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Node node = new Node(called(discovery, one))) {
+            awaitFigure(node, "hosts_excluded", "0");
+            Message watch = await(discovery.received);
+            Loopback.tell(watch.socket(), list(2, false, entry("s0", one.address(), "a", "terminating"),
+                    entry("s1", one.address(), "a", "in_service")));
+            awaitFigure(node, "hosts_known", "2");
+            awaitFigure(node, "hosts_excluded", "1");
+        }
+    }
+
+    /** Guards against a drain that loses what comes, or holds clients here: an answer says when to leave, what nobody
+        asks on is closed, and the way back needs no restart. */
+    @Test
+    void aDrainedGatewayServesOpenConnectionsUntilTheyAreClosedAndComesBack() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Node node = new Node(called(discovery, one))) {
+            Socket used = node.connect();
+            Socket idle = node.connect();
+            write(idle, read(20_000).replace("9b1f", "9b20"));
+            assertEquals(200, Loopback.read(idle).status());
+            assertEquals(200, node.call("POST /standby").status());
+            assertEquals(200, node.call("POST /standby").status());
+            assertEquals(503, node.call("GET /status").status());
+            assertEquals(503, node.ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n").status());
+            Message last;
+            do {
+                write(used, read(20_000));
+                last = Loopback.read(used);
+                assertEquals(200, last.status());
+            } while (!"close".equalsIgnoreCase(last.header("Connection")));
+            assertNull(Loopback.read(used));
+            assertNull(Loopback.read(idle));
+            assertEquals(200, node.ask(read(20_000)).status());
+            assertEquals(200, node.call("POST /active").status());
+            assertEquals(200, node.call("GET /status").status());
+            Socket back = node.connect();
+            for (int i = 0; i < 2; i++) {
+                write(back, "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+                assertEquals(200, Loopback.read(back).status());
+            }
+            write(back, read(20_000));
+            assertEquals(200, Loopback.read(back).status());
+        }
+    }
+
+    /** Guards against calls that cross a start or a stop and turn it round. */
+    @Test
+    void aStandbyDuringTheStartHoldsAndNothingComesBackFromAStop() {
+        Life life = new Life();
+        assertEquals(Life.State.STARTING, life.state());
+        assertTrue(life.standby(true));
+        assertEquals(Life.State.STARTING, life.state());
+        List<Life.State> heard = new ArrayList<>();
+        life.started(() -> heard.add(life.state()));
+        assertTrue(life.standby(false));
+        life.stop();
+        assertTrue(life.standby(true));
+        assertEquals(false, life.standby(false));
+        assertEquals(Life.State.STOPPING, life.state());
+        assertEquals(List.of(Life.State.STANDBY, Life.State.ACTIVE), heard);
+    }
+
+    @Test
+    void anAddressThatIsTakenEndsTheStartWithOneMessage() throws Exception {
+        try (Server discovery = discovery(); ServerSocket taken = new ServerSocket(0, 1,
+                InetAddress.getByName("127.0.0.1"))) {
+            InetSocketAddress at = (InetSocketAddress) taken.getLocalSocketAddress();
+            Config config = Config.read(called(discovery));
+            EventLoop loop = Main.loop();
+            try {
+                IllegalArgumentException fault = assertThrows(IllegalArgumentException.class,
+                        () -> Admin.open(at, loop, new Life(), config.tally()));
+                assertTrue(fault.getMessage().startsWith("no listening for operators on"), fault.getMessage());
+            } finally {
+                loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+            }
+        }
+    }
+}
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -81,8 +81,8 @@
                 });
         try (Server discovery = discovery()) {
             Config config = Config.read(environment(folder, discovery, list(1, true), SETTINGS));
-            loop.submit(() -> new Gateway(config, loop, module, 8, 8, new PrintStream(log, true,
-                    StandardCharsets.UTF_8)).take(client, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+            loop.submit(() -> new Gateway(config, loop, module, config.tally(), 8, 8, new PrintStream(log,
+                    true, StandardCharsets.UTF_8)).take(client, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     HttpMethod.GET, "/api"), "read", "acme", null, left, false, 0)).sync();
         }
     }
@@ -146,7 +146,7 @@
     /** Guards against a log that leaves an operator guessing where requests went. */
     @Test
     void theTallyTellsWhatWasCountedOnce() {
-        Tally tally = new Tally();
+        Tally tally = new Tally(List.of());
         tally.add(Tally.Count.TAKEN);
         tally.add(Tally.Count.TAKEN);
         tally.add(Balancer.Outcome.SHED);
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -63,7 +64,7 @@
 
     private HostPool pool(int most) throws Exception {
         return onLoop(() -> {
-            HostPool pool = new HostPool(loop, clock::get, DIAL, IDLE, GRACE, most, new Tally(), line -> { });
+            HostPool pool = new HostPool(loop, clock::get, DIAL, IDLE, GRACE, most, new Tally(List.of()), line -> { });
             update(pool, list(1, true, entry("s1", one.address(), "a", "in_service"),
                     entry("s2", two.address(), "a", "in_service")));
             return pool;
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -203,12 +203,18 @@
     static final class Node implements AutoCloseable {
 
         final EventLoop loop = Main.loop();
+        final EventLoop adminLoop = Main.loop();
+        final Life life = new Life();
+        final Admin admin;
         final ByteArrayOutputStream log = new ByteArrayOutputStream();
         final ClientSide clients;
         private final List<Socket> sockets = new ArrayList<>();
 
         Node(Map<String, String> environment) {
-            clients = Main.start(Config.read(environment), loop, new PrintStream(log, true, StandardCharsets.UTF_8));
+            Config config = Config.read(environment);
+            Tally tally = config.tally();
+            admin = config.admin() == null ? null : Admin.open(config.admin(), adminLoop, life, tally);
+            clients = Main.start(config, loop, life, tally, new PrintStream(log, true, StandardCharsets.UTF_8));
         }
 
         Socket connect() throws IOException {
@@ -232,6 +238,16 @@
                 socket.close();
             }
             loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+            adminLoop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+
+        /** One operators' call on a connection of its own. */
+        Message call(String line) throws IOException {
+            try (Socket socket = new Socket(admin.address().getAddress(), admin.address().getPort())) {
+                socket.setSoTimeout(WAIT_SECONDS * 1000);
+                write(socket, line + " HTTP/1.1\r\nHost: s\r\n\r\n");
+                return read(socket);
+            }
         }
     }
 
--- a/src/test/java/mastdrift/wire/PassingOnTest.java
+++ b/src/test/java/mastdrift/wire/PassingOnTest.java
@@ -123,6 +123,11 @@
         @Override
         public void probed(long now, String address, Outcome outcome, long elapsed, LoadReport report) { }
 
+        @Override
+        public int excluded(long now) {
+            return 0;
+        }
+
         @Override
         public void told(long now, int peer, byte[] message) {
             told.add(List.of(peer, (int) message[0], message.length));
