Take clients from the passed listening socket, and hand over to a successor at SIGTERM

The second process tried to bind the address that the platform holds and ended with status 2. Now the inherited channel is registered, never bound; a passed socket that is none ends the start with one line.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -35,6 +35,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -93,6 +94,7 @@
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
     private boolean accepting = true;
+    private boolean shared;  // the listening socket: a successor accepts from it too
     private boolean closing;  // each answer is the last on its connection
     private boolean drained;  // nobody should be here any more
     private Future<?> drain;
@@ -118,7 +120,23 @@
     }
 
     ChannelFuture listen(InetSocketAddress at) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return listening(bootstrap().channel(NioServerSocketChannel.class).bind(at));
+    }
+
+    /** Accepts from a socket that others listen on as well, before and after this gateway. */
+    ChannelFuture accept(ServerSocketChannel passed) {
+        shared = true;
+        return listening(bootstrap().channelFactory(() -> new NioServerSocketChannel(passed)).register());
+    }
+
+    private ChannelFuture listening(ChannelFuture begun) {
+        server = begun.channel();
+        loop.scheduleWithFixedDelay(this::closeOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        return begun;
+    }
+
+    private ServerBootstrap bootstrap() {
+        return new ServerBootstrap().group(loop)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -127,10 +145,7 @@
                         channel.pipeline().addLast(new HttpServerCodec(), new Requests(),
                                 new WriteTimeoutHandler(WRITE_SECONDS), new Connection(channel));
                     }
-                }).bind(at);
-        server = bound.channel();
-        loop.scheduleWithFixedDelay(this::closeOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
-        return bound;
+                });
     }
 
     /** Hears of a standby and of its end; on the loop, each time that either was asked for. */
@@ -161,7 +176,14 @@
         }
         long longest = classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
         answerBy = gateway.now() + stopAnswered(longest);
-        loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+        if (shared) {
+            // Whoever comes next is the successor's. Not closed: the virtual machine would lead the log to nowhere.
+            closing = true;
+            accepting = false;
+            server.config().setAutoRead(false);
+        } else {
+            loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+        }
         loop.schedule(() -> {
             closing = true;
             closeIdle();
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -4,8 +4,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -41,6 +43,7 @@
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
         try {
             Config config = Config.read(System.getenv());
+            ServerSocketChannel passed = config.passedSocket() ? passed() : null;
             Tally tally = config.tally();
             if (config.admin() != null) {
                 Admin admin = Admin.open(config.admin(), loop(), life, tally);
@@ -50,7 +53,7 @@
             if (List.of(args).contains(REHEARSE)) {
                 System.exit(0);
             }
-            ClientSide clients = start(config, loop, life, tally, System.out);
+            ClientSide clients = start(config, passed, loop, life, tally, System.out);
             started.complete(clients.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
         } catch (IllegalArgumentException | CompletionException e) {
@@ -91,8 +94,22 @@
         return connectionsMost - connectionsMost / 8;
     }
 
-    /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
-    static ClientSide start(Config config, EventLoop loop, Life life, Tally tally, PrintStream out) {
+    /** The listening socket that the platform has passed on; throws IllegalArgumentException where there is none. */
+    private static ServerSocketChannel passed() {
+        try {
+            if (System.inheritedChannel() instanceof ServerSocketChannel passed) {
+                return passed;
+            }
+        } catch (IOException e) {
+            throw new IllegalArgumentException("the passed socket can't be used: " + e.getMessage(), e);
+        }
+        throw new IllegalArgumentException("descriptor 0 is no listening socket, though NODE_PASSED_SOCKET is set");
+    }
+
+    /** Starts a gateway on the loop, on the passed socket where there is one; throws IllegalArgumentException for a
+        configuration it can't run with. */
+    static ClientSide start(Config config, ServerSocketChannel passed, EventLoop loop, Life life, Tally tally,
+            PrintStream out) {
         int most = connectionsMost(config.sockets());
         ClientSide clients = CompletableFuture.supplyAsync(() -> {
             Gateway gateway = new Gateway(config, loop, new Balance(), tally, most, openMost(most), out);
@@ -101,10 +118,11 @@
             }
             return new ClientSide(loop, gateway, config.settings(), most, life);
         }, loop).join();
-        ChannelFuture bound = clients.listen(config.listen()).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IllegalArgumentException("no listening on " + config.listen() + ": " + bound.cause().getMessage(),
-                    bound.cause());
+        ChannelFuture listening = (passed == null ? clients.listen(config.listen()) : clients.accept(passed))
+                .awaitUninterruptibly();
+        if (!listening.isSuccess()) {
+            throw new IllegalArgumentException("no listening on " + config.listen() + ": "
+                    + listening.cause().getMessage(), listening.cause());
         }
         out.println("listening on " + clients.address());
         life.started(() -> loop.execute(clients::drainOrNot));
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -23,7 +23,9 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -259,6 +261,56 @@
         }
     }
 
+    /** Guards against clients that a replacement loses: the successor takes who comes, and the old process serves those
+        that it has, tells them to leave, and closes what nobody asks on at last. */
+    @Test
+    void aSuccessorTakesOverTheListeningSocket() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                ServerSocketChannel passed = ServerSocketChannel.open()) {
+            passed.bind(new InetSocketAddress("127.0.0.1", 0));
+            passed.configureBlocking(false);
+            try (Node old = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS), passed)) {
+                Socket used = old.connect();
+                Socket idle = old.connect();
+                for (Socket client : List.of(used, idle)) {
+                    write(client, read(20_000));
+                    assertEquals("one", Loopback.read(client).text());
+                }
+                try (Node next = new Node(environment(folder, discovery, list(1, true, up("s2", two)), SETTINGS),
+                        passed)) {
+                    CountDownLatch stopped = new CountDownLatch(1);
+                    old.loop.submit(() -> old.clients.stop(stopped::countDown)).sync();
+                    for (int i = 0; i < 20; i++) {
+                        assertEquals("two", next.ask(read(20_000)).text());
+                    }
+                    write(used, read(20_000));
+                    Message last = Loopback.read(used);
+                    assertEquals("one", last.text());
+                    assertEquals("close", last.header("Connection"));
+                    assertNull(Loopback.read(idle));
+                    assertTrue(stopped.await(LIFE_SECONDS, TimeUnit.SECONDS));
+                }
+            }
+        }
+    }
+
+    @Test
+    void aPassedSocketThatIsNoneEndsTheStartWithOnePlainLine() throws Exception {
+        try (Server discovery = discovery()) {
+            Map<String, String> environment = new HashMap<>(environment(folder, discovery, list(1, true), SETTINGS));
+            environment.put("NODE_PASSED_SOCKET", "0");
+            Process process = start(environment);
+            try {
+                assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(2, process.exitValue(), log());
+                assertEquals("can't start: descriptor 0 is no listening socket, though NODE_PASSED_SOCKET is set",
+                        log().strip());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     private void signalHup(Process process, String discovery) throws Exception {
         Files.writeString(folder.resolve("config.json"), discovery);
         assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -211,10 +212,15 @@
         private final List<Socket> sockets = new ArrayList<>();
 
         Node(Map<String, String> environment) {
+            this(environment, null);
+        }
+
+        /** On a listening socket that others hold as well. */
+        Node(Map<String, String> environment, ServerSocketChannel passed) {
             Config config = Config.read(environment);
             Tally tally = config.tally();
             admin = config.admin() == null ? null : Admin.open(config.admin(), adminLoop, life, tally);
-            clients = Main.start(config, loop, life, tally, new PrintStream(log, true, StandardCharsets.UTF_8));
+            clients = Main.start(config, passed, loop, life, tally, new PrintStream(log, true, StandardCharsets.UTF_8));
         }
 
         Socket connect() throws IOException {
