--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -227,9 +227,16 @@
 
     @Override
     public void streaming(long now, long id, int attempt) {
-        if (held.containsKey(id)) {
-            held.get(id).streaming = true;
+        Held req = held.get(id);
+        if (req == null || attempt < 0 || attempt >= req.attempts.size() || !req.attempts.get(attempt).out) {
+            return;
+        }
+        Attempt mine = req.attempts.get(attempt);
+        if (!mine.streaming && mine.server.unanswered > 0) {
+            mine.server.unanswered--;  // it may last: no sign of silence
         }
+        req.streaming = true;
+        mine.streaming = true;
     }
 
     @Override
@@ -245,7 +252,8 @@
         settle(now, req, attempt, outcome, elapsed);
         if (counts(now, attempt.server) && outcome != Outcome.REVOKED && outcome != Outcome.UNUSED) {
             servedAt[servedCount % SERVED] = now;
-            served[servedCount++ % SERVED] = outcome == Outcome.DELIVERED ? lateness(now, req) : LOST;
+            double late = lateness(attempt.streaming ? req.since + elapsed : now, req);
+            served[servedCount++ % SERVED] = outcome == Outcome.DELIVERED ? late : LOST;
         }
         if (over) {
             end(req);
@@ -408,7 +416,7 @@
         }
         for (Attempt attempt : server.out) {
             double age = (now - attempt.sentAt) / usual[attempt.cls];
-            if (age > server.respTime) {
+            if (age > server.respTime && !attempt.streaming) {
                 values[count++] = age;
             }
         }
@@ -449,8 +457,8 @@
                 markDown(now, server);
             }
             measure(now, server);
-            long oldest = server.out.stream().filter(a -> a.sentAt > server.overtook).findFirst()
-                    .map(a -> now - a.sentAt).orElse(0L);
+            long oldest = server.out.stream().filter(a -> a.sentAt > server.overtook && !a.streaming)
+                    .findFirst().map(a -> now - a.sentAt).orElse(0L);
             if (oldest > waiting(now, server)) {
                 setWait(now, server, oldest);
             }
@@ -686,7 +694,7 @@
         }
         for (Held req : held.values()) {
             Attempt attempt = req.attempts.get(req.attempts.size() - 1);
-            if (now - req.since > req.type.aim() && counts(now, attempt.server)) {
+            if (now - req.since > req.type.aim() && !attempt.streaming && counts(now, attempt.server)) {
                 all[total++] = lateness(now, req);
                 if (attempt.sentAt > attempt.server.overtook) {
                     values[count++] = lateness(now, req);
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -168,10 +168,12 @@
     /** A client's request has come in; it is owed exactly one final answer. */
     void request(long now, Request request);
 
-    /** The answer to an attempt has begun to stream; the attempt belongs to the client now. */
+    /** The answer to an attempt has begun to stream, or its request, too long to be kept, to go out in pieces: the
+        attempt can't be followed by another, and its age tells nothing of the host. May come twice. */
     void streaming(long now, long id, int attempt);
 
-    /** An attempt ended; {@code over} if the request has ended, by this outcome or earlier. */
+    /** An attempt ended; {@code over} if the request has ended, by this outcome or earlier. Where it was streaming, the
+        elapsed time is that from the request's last byte to the answer's first. */
     void resolved(long now, long id, int attempt, String address, Outcome outcome, long elapsed,
             boolean over, LoadReport report);
 
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -76,6 +76,7 @@
         boolean out = true;
         long idle;  // of the connection it was sent on, 0 for a new one or one not known
         boolean neverRan;
+        boolean streaming;  // its age is not the host's doing
 
         Attempt(Server server, int cls, long sentAt) {
             this.server = server;
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -3,28 +3,28 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
@@ -45,6 +45,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
@@ -54,7 +55,6 @@
 /** The server that clients connect to: reads requests, refuses what is none, writes the final answers. */
 final class ClientSide {
 
-    private static final int BODY_MOST = 64 << 10;
     private static final int BACKLOG = 1024;
     private static final int PIPELINED_MOST = 8;
     // A client that takes nothing of its answer for so long is gone.
@@ -66,9 +66,15 @@
     private static final long STOP_SERVING_MOST = 1_500_000;
     private static final long STOP_ANSWERED = 400_000;
     private static final long DEADLINE_COUNTED = 3_000_000;  // a longer one puts off the kill no further
-    // A request has to be whole so long after its connection came, or after its first byte on one in use: the bound is
-    // not moved by what trickles in.
-    private static final long WHOLE_IN = 2_000_000;
+    // A request's head has to be there so long after its connection came, or after its first byte on one in use: the bound
+    // is not moved by what trickles in. Clients may take 2 s for one, and what never asks is owed an end within 3 s.
+    private static final long HEAD_IN = 2_600_000;
+    // A body may come at 64 kB a second; twice as long is borne. Microseconds a byte.
+    private static final double BODY_PACE = 1e6 / 32_000;
+    // After an answer that came before its request was whole, the rest is read and dropped for so long.
+    private static final long LINGER_MILLIS = 2000;
+    /** Hundreds of connections may each hold a read and a write of this size. */
+    static final WriteBufferWaterMark WRITE_SIZES = new WriteBufferWaterMark(16 << 10, 32 << 10);
     private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
     private static final long SWEEP_MILLIS = 250;
     // A drain has 4 s to leave no client here. New connections come until the front has heard: answers tell clients to
@@ -135,15 +141,22 @@
         return begun;
     }
 
+    static RecvByteBufAllocator readSizes() {
+        return new AdaptiveRecvByteBufAllocator(256, 2048, 16 << 10);
+    }
+
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap().group(loop)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readSizes())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_SIZES)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new Requests(),
-                                new WriteTimeoutHandler(WRITE_SECONDS), new Connection(channel));
+                        Assembler assembler = new Assembler();
+                        channel.pipeline().addLast(new HttpServerCodec(), assembler,
+                                new WriteTimeoutHandler(WRITE_SECONDS), new Connection(channel, assembler));
                     }
                 });
     }
@@ -190,6 +203,8 @@
             stopped = then;
             checkStopped();
         }, stopServing(longest), TimeUnit.MICROSECONDS);
+        loop.schedule(() -> connections.stream().filter(connection -> connection.current == null).toList()
+                .forEach(connection -> connection.channel.close()), stopAnswered(longest), TimeUnit.MICROSECONDS);
     }
 
     /** From the stop until all is answered: before the kill, which comes 0.7 s and the longest deadline after it. */
@@ -230,38 +245,44 @@
         }
     }
 
-    /** Whole requests; one that is too long is passed on as such, to be answered in its turn. */
-    private static final class Requests extends HttpObjectAggregator {
-
-        Requests() {
-            super(BODY_MOST);
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            HttpRequest request = (HttpRequest) oversized;
-            FullHttpRequest failed = new DefaultFullHttpRequest(request.protocolVersion(), request.method(),
-                    request.uri(), Unpooled.EMPTY_BUFFER);
-            failed.setDecoderResult(DecoderResult.failure(new TooLongFrameException("body")));
-            context.fireChannelRead(failed);
-        }
-    }
-
-    private record Arrived(FullHttpRequest message, long at) { }
+    private record Arrived(FullHttpRequest message, Relay rest, long at) { }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Gateway.Client {
+    private final class Connection extends SimpleChannelInboundHandler<Assembler.Part> implements Gateway.Client {
 
         private final Channel channel;
+        private final Assembler assembler;
         private final Queue<Arrived> waiting = new ArrayDeque<>();
         private FullHttpRequest current;
+        private Relay currentRest;  // of its body, null where it came whole
+        private Relay coming;  // the rest of the body that is being read, the current request's or a later one's
+        private Relay going;  // the rest of the answer that is being written
+        private boolean expects;  // the request that is coming waits to be asked for its body
         private Gateway.Exchange exchange;
         private String id;
         private boolean read;
+        private boolean lingering;  // answered, and closes with the end of what is coming
         private long idleSince = gateway.now();
         private long partSince;  // since when there is a part of a request, 0 while there is none
+        private long pausedAt;  // since when nothing is read, 0 while something is
 
-        Connection(Channel channel) {
+        Connection(Channel channel, Assembler assembler) {
             this.channel = channel;
+            this.assembler = assembler;
+        }
+
+        /** Reading pauses while there is enough: that time is not the client's. */
+        private void pace() {
+            boolean reads = waiting.size() <= PIPELINED_MOST && (coming == null || !coming.full());
+            if (reads == (pausedAt == 0)) {
+                return;
+            }
+            if (reads) {
+                partSince += partSince == 0 ? 0 : gateway.now() - pausedAt;
+                pausedAt = 0;
+            } else {
+                pausedAt = gateway.now();
+            }
+            channel.config().setAutoRead(reads);
         }
 
         /** At the bound, the longest idle one makes room; where none is, no more are accepted for now. */
@@ -278,10 +299,16 @@
 
         /** Without a word: a 408 might cross a request, and be taken for its answer. */
         private void closeOverdue(long now) {
-            long idleMost = silent.contains(this) ? WHOLE_IN : IDLE_MOST;
-            boolean over = now - idleSince > idleMost || partSince != 0 && now - partSince > WHOLE_IN
-                    || drained && partSince == 0 && now - idleSince > DRAINED_IDLE_MOST;
-            if (current == null && over) {
+            boolean asked = !silent.contains(this);
+            boolean over;
+            if (partSince != 0) {
+                long since = asked ? partSince : idleSince;
+                over = (current == null || coming != null) && pausedAt == 0
+                        && now - since > HEAD_IN + assembler.bytes() * BODY_PACE;
+            } else {
+                over = current == null && now - idleSince > (drained ? DRAINED_IDLE_MOST : asked ? IDLE_MOST : HEAD_IN);
+            }
+            if (over) {
                 channel.close();
             }
         }
@@ -300,18 +327,26 @@
             if (exchange != null) {
                 exchange.departed();
             }
+            if (going != null) {
+                going.abandon();
+            }
             checkStopped();
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+        protected void channelRead0(ChannelHandlerContext context, Assembler.Part part) {
             read = true;
-            partSince = 0;
             silent.remove(this);
-            waiting.add(new Arrived(message.retain(), gateway.now()));
-            if (waiting.size() > PIPELINED_MOST) {
-                channel.config().setAutoRead(false);
+            coming = part.rest();
+            if (coming == null) {
+                expects = false;
+                partSince = 0;
+            } else {
+                partSince = partSince == 0 ? gateway.now() : partSince;
+                coming.onPace(this::pace);
             }
+            waiting.add(new Arrived((FullHttpRequest) part.message(), coming, gateway.now()));
+            pace();
             if (current == null) {
                 next();
             }
@@ -320,18 +355,50 @@
         /** What was read without a whole request coming of it is a part of one. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            if (!read && partSince == 0) {
+            if (coming != null && coming.over()) {
+                boolean whole = coming.whole();
+                coming = null;
+                partSince = 0;
+                if (!whole || lingering) {
+                    channel.close();
+                }
+            } else if (!read && partSince == 0) {
                 partSince = gateway.now();
             }
             read = false;
         }
 
+        /** A client that waits to be asked for its body is asked in its turn, unless it is not to be sent. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event == Assembler.Event.EXPECTS) {
+                expects = true;
+                askForBody();
+            }
+        }
+
+        private void askForBody() {
+            if (expects && (current == null || currentRest == coming && coming != null)) {
+                expects = false;
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                        Unpooled.EMPTY_BUFFER));
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (going != null) {
+                going.goOn();
+            }
+        }
+
         private void next() {
             Arrived arrived = waiting.poll();
+            pace();
             if (arrived == null) {
-                channel.config().setAutoRead(true);
                 idle.add(this);
                 idleSince = gateway.now();
+                askForBody();
                 if (connections.size() > most) {  // or accepting, once paused, would never go on
                     makeRoom(null);
                 }
@@ -339,6 +406,8 @@
             }
             idle.remove(this);
             current = arrived.message;
+            currentRest = arrived.rest;
+            askForBody();
             try {
                 begin(arrived);
             } finally {
@@ -374,7 +443,7 @@
             boolean bad = type == null || expires <= 0 || !tenants.isEmpty() && !tenants.contains(tenant)
                     || !passable(trace) || !passable(message.uri()) || !passable(headers.get(REPEAT_KEY, keyed ? "" : "-"))
                     || ONCE.stream().anyMatch(name -> headers.getAll(name).size() > 1);
-            if (message.method().equals(HttpMethod.GET) && message.content().isReadable()) {
+            if (message.method().equals(HttpMethod.GET) && (message.content().isReadable() || currentRest != null)) {
                 plain(HttpResponseStatus.BAD_REQUEST, true);  // hosts that pass a body over would read it as a request
             } else if (!message.method().equals(HttpMethod.GET) && !message.method().equals(HttpMethod.POST)
                     || !bad && message.method().equals(HttpMethod.GET) != (type.repeat() == Repeat.SAFE)) {
@@ -387,8 +456,11 @@
                 id = trace;
                 long left = Math.min(Math.min(expires * 1000, type.deadline()) - waited, answerBy - gateway.now());
                 long work = Math.max(0, number(headers.get("X-Size-Hint")));
-                exchange = gateway.take(this, message, type.name(), tenant, key(headers.get("X-Object")), left,
+                Gateway.Exchange taken = gateway.take(this, message, currentRest, type.name(), tenant, key(headers.get("X-Object")), left,
                         "1".equals(headers.get("X-Second-Try")), work);
+                if (taken != null) {  // or it has been answered, and the next one may have been taken already
+                    exchange = taken;
+                }
             }
         }
 
@@ -422,10 +494,37 @@
         public void served(FullHttpResponse answer) {
             ByteBuf body = answer.content().retain();
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body);
+            keepType(answer, response);
+            write(response, false);
+        }
+
+        private static void keepType(HttpResponse answer, HttpResponse response) {
             if (answer.headers().contains(HttpHeaderNames.CONTENT_TYPE)) {
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.headers().get(HttpHeaderNames.CONTENT_TYPE));
             }
-            write(response, false);
+        }
+
+        /** With the length where it is told; else in chunks, or up to the connection's end for a client without them. */
+        @Override
+        public void begun(FullHttpResponse answer, Relay rest, Consumer<Boolean> passed) {
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            keepType(answer, response);
+            boolean told = HttpUtil.isContentLengthSet(answer);
+            boolean chunks = !told && current.protocolVersion().equals(HttpVersion.HTTP_1_1);
+            if (told) {
+                HttpUtil.setContentLength(response, HttpUtil.getContentLength(answer));
+            }
+            HttpUtil.setTransferEncodingChunked(response, chunks);
+            boolean keep = keeps() && (told || chunks);
+            HttpUtil.setKeepAlive(response, keep);
+            going = rest;
+            channel.write(response);
+            channel.writeAndFlush(new DefaultHttpContent(answer.content().retain()));
+            rest.writeTo(channel, whole -> {
+                going = null;
+                passed.accept(whole);
+                answered(keep && whole);
+            });
         }
 
         /** Whole seconds, as HTTP has them. */
@@ -449,21 +548,41 @@
             return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         }
 
+        private boolean keeps() {
+            return !closing && HttpUtil.isKeepAlive(current) && (currentRest == null || currentRest.whole());
+        }
+
         private void write(FullHttpResponse response, boolean close) {
+            if (going != null) {  // there is a part of an answer out already
+                response.release();
+                channel.close();
+                return;
+            }
+            boolean keep = !close && keeps();
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            HttpUtil.setKeepAlive(response, keep);
+            channel.writeAndFlush(response).addListener(done -> answered(keep && done.isSuccess()));
+        }
+
+        /** The answer is out. Of a request that isn't whole by then the rest is read and dropped for a moment: a close with
+            bytes unread would be a reset, by which the client may lose the answer. */
+        private void answered(boolean keep) {
             exchange = null;
             open.remove(id);
             id = null;
-            boolean keep = !close && !closing && HttpUtil.isKeepAlive(current);
-            HttpUtil.setContentLength(response, response.content().readableBytes());
-            HttpUtil.setKeepAlive(response, keep);
-            channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
-                current = null;
-                if (keep && done.isSuccess()) {
-                    next();
-                } else {
-                    channel.close();
-                }
-            });
+            if (!keep && currentRest != null && currentRest == coming && !coming.over() && channel.isActive()) {
+                lingering = true;
+                coming.abandon();
+                loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            current = null;
+            currentRest = null;
+            if (keep) {
+                next();
+            } else {
+                channel.close();
+            }
         }
 
         @Override
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
@@ -22,6 +23,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import mastdrift.Balancer;
 import mastdrift.Balancer.ListForm;
@@ -49,6 +51,10 @@
         /** With a host's answer, which the caller releases. */
         void served(FullHttpResponse answer);
 
+        /** With a host's answer that has begun, which the caller releases, and a rest to be written; {@code passed} hears
+            whether all has been, unless the client departs before. */
+        void begun(FullHttpResponse answer, Relay rest, Consumer<Boolean> passed);
+
         void refused(long retryAfter);
 
         void failed(boolean late);
@@ -60,16 +66,37 @@
         private final Client client;
         private final String className;
         private final FullHttpRequest message;
+        private final Relay rest;  // of its body, null where the message is whole
+        private final long kept;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(2);
         private Future<?> backstop;
+        private boolean coming;  // the rest
+        private boolean relaying;  // the message has gone out and is not kept
+        private boolean begun;  // the answer
         private int out;
         private boolean late;
         private boolean ended;
 
-        private Exchange(Client client, String className, FullHttpRequest message) {
+        private Exchange(Client client, String className, FullHttpRequest message, Relay rest, long kept) {
             this.client = client;
             this.className = className;
             this.message = message;
+            this.rest = rest;
+            this.kept = kept;
+            coming = rest != null;
+        }
+
+        private void startBackstop() {
+            backstop = loop.schedule(() -> overdue(this), kept + BACKSTOP, TimeUnit.MICROSECONDS);
+        }
+
+        /** All of it is there and its time counts, or its end makes that of no matter. */
+        private void whole() {
+            if (coming) {
+                coming = false;
+                incoming--;
+                countInFlight();
+            }
         }
 
         /** The client went away: nothing more is owed. */
@@ -77,6 +104,9 @@
             if (!ended) {
                 tally.add(Tally.Count.DEPARTED);
                 finish(this);
+                if (rest != null || begun) {  // what comes or goes in pieces has lost its other end
+                    attempts.forEach(HostPool.Attempt::cancel);
+                }
                 event(null, now -> module.departed(now, id));
             }
         }
@@ -95,6 +125,7 @@
     private boolean inEvent;
     private long nextId = 1;
     private int open;
+    private int incoming;  // of those that are open: requests of which a rest is to come, not taken before
     private final long startedAt = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
 
     /** Starts the module; on the loop's thread. */
@@ -188,9 +219,14 @@
         event(null, now -> module.hosts(now, ListForm.FAILED, List.of()));
     }
 
-    /** Takes a request, which keeps its message; null where it was answered at once. */
-    Exchange take(Client client, FullHttpRequest message, String className, String tenant, Long key, long left,
-            boolean repeated, long work) {
+    private void countInFlight() {
+        tally.set(Tally.Gauge.IN_FLIGHT, open - incoming);
+    }
+
+    /** Takes a request, which keeps its message; the time left counts from its last byte, and the rest is null where that
+        has come. Null where it was answered at once. */
+    Exchange take(Client client, FullHttpRequest message, Relay rest, String className, String tenant, Long key,
+            long left, boolean repeated, long work) {
         tally.add(Tally.Count.TAKEN);
         if (open >= openMost) {
             tally.add(Tally.Count.REFUSED_AT_BOUND);
@@ -205,12 +241,13 @@
             client.failed(true);
             return null;
         }
-        Exchange exchange = new Exchange(client, className, message.retain());
+        Exchange exchange = new Exchange(client, className, message.retain(), rest, kept);
         open++;
-        tally.set(Tally.Gauge.IN_FLIGHT, open);
+        incoming += rest == null ? 0 : 1;
+        countInFlight();
         tally.level(Tally.Level.OPEN_REQUESTS, open);
         ledger.put(exchange.id, exchange);
-        exchange.backstop = loop.schedule(() -> overdue(exchange), kept + BACKSTOP, TimeUnit.MICROSECONDS);
+        exchange.startBackstop();
         boolean write = message.method().equals(HttpMethod.POST);
         event(exchange, now -> module.request(now,
                 new Balancer.Request(exchange.id, className, tenant, key, kept, work, repeated, write)));
@@ -231,9 +268,15 @@
     private void finish(Exchange exchange) {
         exchange.ended = true;
         exchange.backstop.cancel(false);
-        exchange.message.release();
         open--;
-        tally.set(Tally.Gauge.IN_FLIGHT, open);
+        exchange.whole();
+        countInFlight();
+        if (!exchange.relaying) {
+            exchange.message.release();
+        }
+        if (exchange.rest != null) {
+            exchange.rest.abandon();
+        }
         forget(exchange);
     }
 
@@ -243,13 +286,11 @@
         }
     }
 
-    private void resolved(Exchange exchange, int number, String uid, long sentAt, Outcome outcome,
-            FullHttpResponse answer) {
-        long elapsed = now() - sentAt;
-        LoadReport report = report(answer);
+    private void resolved(Exchange exchange, int number, String uid, long elapsed, Outcome outcome,
+            FullHttpResponse answer, LoadReport report) {
         exchange.late = outcome == Outcome.EXPIRED;
         tally.add(outcome);
-        if (outcome == Outcome.DELIVERED && !exchange.ended) {
+        if (outcome == Outcome.DELIVERED && !exchange.ended && !exchange.begun) {
             finish(exchange);
             tally.add(exchange.className, Tally.Ended.SERVED);
             exchange.client.served(answer);
@@ -257,7 +298,25 @@
         event(exchange, now -> {
             exchange.out--;
             forget(exchange);
-            module.resolved(now, exchange.id, number, uid, outcome, elapsed, exchange.ended, report);
+            module.resolved(now, exchange.id, number, uid, outcome, elapsed, exchange.ended || exchange.begun, report);
+        });
+    }
+
+    /** The answer's rest goes to the client as it comes: the attempt is the client's from now on. */
+    private void begun(Exchange exchange, int number, FullHttpResponse answer, Relay rest) {
+        if (exchange.ended || exchange.begun) {
+            rest.abandon();
+            exchange.attempts.get(number).cancel();
+            return;
+        }
+        exchange.begun = true;
+        exchange.backstop.cancel(false);
+        event(exchange, now -> module.streaming(now, exchange.id, number));
+        exchange.client.begun(answer, rest, whole -> {
+            if (!exchange.ended) {
+                finish(exchange);
+                tally.add(exchange.className, whole ? Tally.Ended.SERVED : Tally.Ended.FAILED);
+            }
         });
     }
 
@@ -272,33 +331,79 @@
     public void send(long id, String uid, long timeout) {
         Exchange exchange = ledger.get(id);
         int number = exchange.attempts.size();
-        long sentAt = now();
-        boolean refused = exchange.ended || number >= settings.limits().maxAttempts();
+        boolean refused = exchange.ended || exchange.relaying || number >= settings.limits().maxAttempts();
         FullHttpRequest message = onward(exchange);
-        exchange.attempts.add(hosts.send(uid, message, refused ? 0 : timeout, new HostPool.Ended() {
-            @Override
-            public void written() {
-                tally.add(Tally.Count.ATTEMPTS_WRITTEN);
+        exchange.attempts.add(hosts.send(uid, message, exchange.rest, refused ? 0 : timeout,
+                new Course(exchange, number, uid)));
+        exchange.out++;  // only now: of what could not be sent there is no outcome
+    }
+
+    /** What becomes of one attempt. Its elapsed time is the host's: up to the answer's first bytes where that is passed
+        on, and from the last byte of a request that is relayed. */
+    private final class Course implements HostPool.Ended {
+
+        private final Exchange exchange;
+        private final int number;
+        private final String uid;
+        private long sentAt = now();
+        private long begunAt;
+        private LoadReport report;
+
+        Course(Exchange exchange, int number, String uid) {
+            this.exchange = exchange;
+            this.number = number;
+            this.uid = uid;
+        }
+
+        @Override
+        public void relaying() {
+            if (!exchange.ended) {
+                exchange.relaying = true;
+                exchange.message.release();
+                exchange.backstop.cancel(false);
+                event(exchange, now -> module.streaming(now, exchange.id, number));
             }
+        }
 
-            @Override
-            public void ended(Outcome outcome, FullHttpResponse answer) {
-                resolved(exchange, number, uid, sentAt, outcome, answer);
+        @Override
+        public void written() {
+            tally.add(Tally.Count.ATTEMPTS_WRITTEN);
+            if (exchange.rest != null && !exchange.ended) {
+                sentAt = now();
+                exchange.whole();
+                exchange.startBackstop();
             }
-        }));
-        exchange.out++;  // only now: of what could not be sent there is no outcome
+        }
+
+        @Override
+        public void begun(FullHttpResponse answer, Relay rest) {
+            begunAt = now();
+            report = report(answer);
+            Gateway.this.begun(exchange, number, answer, rest);
+        }
+
+        @Override
+        public void ended(Outcome outcome, FullHttpResponse answer) {
+            long elapsed = (begunAt == 0 ? now() : begunAt) - sentAt;
+            resolved(exchange, number, uid, elapsed, outcome, answer, report == null ? report(answer) : report);
+        }
     }
 
     private static FullHttpRequest onward(Exchange exchange) {
         FullHttpRequest from = exchange.message;
-        ByteBuf body = exchange.ended ? Unpooled.EMPTY_BUFFER : from.content().retainedDuplicate();
+        ByteBuf body = exchange.ended || exchange.relaying ? Unpooled.EMPTY_BUFFER : from.content().retainedDuplicate();
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), body);
         for (String name : PASSED_ON) {
             if (from.headers().contains(name)) {
                 message.headers().set(name, from.headers().get(name));
             }
         }
-        if (body.isReadable() || from.method().equals(HttpMethod.POST)) {
+        if (exchange.rest != null) {  // framed as it came
+            HttpUtil.setTransferEncodingChunked(message, HttpUtil.isTransferEncodingChunked(from));
+            if (HttpUtil.isContentLengthSet(from)) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, HttpUtil.getContentLength(from));
+            }
+        } else if (body.isReadable() || from.method().equals(HttpMethod.POST)) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         if (from.headers().contains(HttpHeaderNames.CONTENT_TYPE)) {
@@ -318,7 +423,7 @@
     @Override
     public void refuse(long id, long retryAfter) {
         Exchange exchange = ledger.get(id);
-        if (exchange != null && !exchange.ended) {
+        if (exchange != null && !exchange.ended && !exchange.begun) {
             finish(exchange);
             tally.add(exchange.className, Tally.Ended.REFUSED);
             exchange.client.refused(retryAfter);
@@ -328,7 +433,7 @@
     @Override
     public void fail(long id) {
         Exchange exchange = ledger.get(id);
-        if (exchange != null && !exchange.ended) {
+        if (exchange != null && !exchange.ended && !exchange.begun) {
             finish(exchange);
             tally.add(exchange.className, Tally.Ended.FAILED);
             exchange.client.failed(exchange.late);
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -11,11 +11,13 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -46,15 +48,17 @@
 final class HostPool {
 
     static final String EXPIRES = "X-Expires-In-Ms";
-    // Bodies hold no more, so this is what one attempt can hold.
-    private static final int BODY_MOST = 64 << 10;
     // Of the time after which hosts close idle connections: a request written in the rest might meet that close.
     private static final double IDLE_PART = 0.8;
     // A first byte may leave later than it was written: drains are kept with this to spare.
     private static final long GRACE_SPARE = 50_000;
-    // An answer of this size has come at once but for a lost packet, which is sent again after 200 ms: one that stalls
-    // for longer won't end.
+    // Of an answer that is held whole, the next piece comes at once but for a lost packet, which is sent again after
+    // 200 ms: one that stalls for longer won't end.
     private static final long STALL = 250_000;
+    // One that is being relayed may be read and written slowly, and can't be had from another host any more.
+    private static final long RELAY_STALL = 5_000_000;
+    // An answer whose length is not told is held for so long; then it may be a long one, of which the first bytes count.
+    private static final long OPEN_ENDED_HELD = 50_000;
     private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
 
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
@@ -62,6 +66,15 @@
         /** The attempt's last byte has been written, which its end may precede. */
         default void written() { }
 
+        /** The request goes out piece by piece from now on and can't be sent again. */
+        default void relaying() { }
+
+        /** An answer that is too long to be held has begun; the rest is to be taken or abandoned. The end comes once all
+            of it has been read, or won't be. */
+        default void begun(FullHttpResponse answer, Relay rest) {
+            rest.abandon();
+        }
+
         void ended(Outcome outcome, FullHttpResponse answer);
     }
 
@@ -95,13 +108,16 @@
         idleMost = (long) (idle * IDLE_PART);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, ClientSide.readSizes())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientSide.WRITE_SIZES)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1000))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         Answers answers = new Answers();
-                        channel.pipeline().addLast(new HttpRequestEncoder(), answers,
-                                new HttpObjectAggregator(BODY_MOST), new Connection(channel, answers));
+                        Assembler assembler = new Assembler();
+                        channel.pipeline().addLast(new HttpRequestEncoder(), answers, assembler,
+                                new Connection(channel, answers, assembler));
                     }
                 });
         long sweep = Math.min(idleMost / 8 + 1, 1_000_000);
@@ -151,13 +167,19 @@
 
     /** Sends the message, which it releases, and waits for as long as the timeout. */
     Attempt send(String uid, FullHttpRequest message, long timeout, Ended ended) {
-        Attempt attempt = new Attempt(message, timeout, ended);
+        return send(uid, message, null, timeout, ended);
+    }
+
+    /** Likewise with a rest, null where there is none: then the timeout is for each part of the way, the connection, a
+        host that takes nothing more, and the answer from the last byte on. */
+    Attempt send(String uid, FullHttpRequest message, Relay rest, long timeout, Ended ended) {
+        Attempt attempt = new Attempt(message, rest, timeout, ended);
         Peer peer = peers.get(uid);
         if (peer == null || timeout <= 0) {
             attempt.end(Outcome.UNUSED, null);
             return attempt;
         }
-        attempt.timer = loop.schedule(attempt::expire, timeout, TimeUnit.MICROSECONDS);
+        attempt.startTimer();
         Connection idle = takeIdle(peer);
         if (idle != null) {
             idle.write(attempt);
@@ -239,20 +261,54 @@
     /** One send: its message until it is written, and who hears of its end. */
     final class Attempt {
 
-        private FullHttpRequest message;
-        private final long ends;
+        private final FullHttpRequest message;
+        private final Relay rest;
+        private final long timeout;
         private final Ended ended;
+        private long ends;
+        private long movedAt;  // when the host last took a piece of the rest, or none was there
         private Future<?> timer;
         private Future<?> stall;
+        private Future<?> hold;
         private Channel channel;
         private boolean sending;
         private boolean written;
         private boolean over;
 
-        private Attempt(FullHttpRequest message, long timeout, Ended ended) {
+        private Attempt(FullHttpRequest message, Relay rest, long timeout, Ended ended) {
             this.message = message;
+            this.rest = rest;
+            this.timeout = timeout;
             this.ended = ended;
+        }
+
+        private void startTimer() {
+            stopTimers();
             ends = clock.getAsLong() + timeout;
+            timer = loop.schedule(this::expire, timeout, TimeUnit.MICROSECONDS);
+        }
+
+        private void stopTimers() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            if (stall != null) {
+                stall.cancel(false);
+            }
+            if (hold != null) {
+                hold.cancel(false);
+            }
+        }
+
+        /** While its rest goes out: ends where the host takes nothing of what there is. */
+        private void awaitMove() {
+            long now = clock.getAsLong();
+            movedAt = rest.waits() ? movedAt : now;
+            if (now - movedAt >= timeout) {
+                stop(Outcome.DIAL_FAILED);
+            } else {
+                timer = loop.schedule(this::awaitMove, timeout - (now - movedAt), TimeUnit.MICROSECONDS);
+            }
         }
 
         /** Stops waiting: the connection closes, by which the host hears of it. */
@@ -276,12 +332,7 @@
                 return;
             }
             over = true;
-            if (timer != null) {
-                timer.cancel(false);
-            }
-            if (stall != null) {
-                stall.cancel(false);
-            }
+            stopTimers();
             if (!sending) {
                 message.release();
             }
@@ -325,21 +376,25 @@
     }
 
     /** One connection, which carries one attempt at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<Assembler.Part> {
 
         private final Channel channel;
         private final Answers answers;
+        private final Assembler assembler;
+        private Relay relay;  // of the answer that is being passed on
         private Peer peer;
         private InetSocketAddress at;
         private long born;
         private Attempt attempt;
         private boolean answered;
+        private boolean keepAlive;
         private int interim;
         private long idleSince;
 
-        Connection(Channel channel, Answers answers) {
+        Connection(Channel channel, Answers answers, Assembler assembler) {
             this.channel = channel;
             this.answers = answers;
+            this.assembler = assembler;
         }
 
         private void write(Attempt next) {
@@ -354,20 +409,64 @@
             next.sending = true;
             next.message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(at))
                     .set(EXPIRES, Math.max(1, (next.ends - now) / 1000));
-            channel.writeAndFlush(next.message).addListener(done -> {
-                next.written = done.isSuccess();
-                if (next.written) {
-                    next.ended.written();
-                } else {
-                    channel.close();
+            if (next.rest == null) {
+                channel.writeAndFlush(next.message).addListener(done -> written(next, done.isSuccess()));
+            } else {
+                relay(next);
+            }
+        }
+
+        private void written(Attempt mine, boolean whole) {
+            mine.written = whole;
+            if (whole) {
+                mine.ended.written();
+            } else {
+                channel.close();
+            }
+        }
+
+        private void relay(Attempt mine) {
+            FullHttpRequest from = mine.message;
+            HttpRequest head = new DefaultHttpRequest(from.protocolVersion(), from.method(), from.uri(), from.headers());
+            channel.write(head);
+            channel.writeAndFlush(new DefaultHttpContent(from.content()));
+            mine.stopTimers();
+            mine.movedAt = clock.getAsLong();
+            mine.awaitMove();
+            mine.ended.relaying();
+            mine.rest.writeTo(channel, whole -> {
+                if (whole && !mine.over) {
+                    mine.startTimer();
                 }
+                written(mine, whole);
             });
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (attempt != null && attempt.rest != null && !attempt.written) {
+                attempt.movedAt = clock.getAsLong();
+                attempt.rest.goOn();
+            }
+        }
+
         /** The connection isn't offered again from here: behind the answer there may be more, which would be taken for
             the answer to the next request. */
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+        protected void channelRead0(ChannelHandlerContext context, Assembler.Part part) {
+            FullHttpResponse answer = (FullHttpResponse) part.message();
+            try {
+                if (part.rest() == null) {
+                    answered(answer);
+                } else {
+                    begun(answer, part.rest());
+                }
+            } finally {
+                answer.release();
+            }
+        }
+
+        private void answered(FullHttpResponse answer) {
             answers.begun = false;
             boolean whole = answer.decoderResult().isSuccess()
                     && !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
@@ -387,14 +486,66 @@
             }
         }
 
+        /** A long answer is passed on if it is one of a request that has been sent whole; what else there is to a long
+            one says its status. */
+        private void begun(FullHttpResponse answer, Relay rest) {
+            Attempt mine = attempt;
+            if (mine == null || mine.over || !mine.written || outcome(answer) != Outcome.DELIVERED) {
+                rest.abandon();
+                channel.close();
+                attempt = null;
+                if (mine != null) {
+                    mine.end(outcome(answer) == Outcome.DELIVERED ? Outcome.DROPPED : outcome(answer), null);
+                }
+                return;
+            }
+            mine.stopTimers();
+            relay = rest;
+            keepAlive = HttpUtil.isKeepAlive(answer);
+            rest.onPace(() -> channel.config().setAutoRead(!rest.full()));
+            mine.ended.begun(answer, rest);
+        }
+
+        /** Ends the attempt once its answer has been read to the end, and otherwise sees to it that this comes. */
+        private void relayed() {
+            Attempt mine = attempt;
+            if (relay.over()) {
+                boolean whole = relay.whole();
+                attempt = null;
+                relay = null;
+                answers.begun = false;
+                answered = whole && keepAlive;
+                idleSince = clock.getAsLong();
+                mine.end(whole ? Outcome.DELIVERED : Outcome.DROPPED, null);
+            } else {
+                awaitMore(mine, RELAY_STALL);
+            }
+        }
+
+        private void awaitMore(Attempt mine, long most) {
+            if (mine.stall != null) {
+                mine.stall.cancel(false);
+            }
+            mine.stall = loop.schedule(() -> {
+                if (relay != null && relay.full()) {  // the client's turn, not the host's
+                    awaitMore(mine, most);
+                } else {
+                    mine.stop(Outcome.DROPPED);
+                }
+            }, most, TimeUnit.MICROSECONDS);
+        }
+
         /** All that came has been read: a connection is good for the next request if nothing came but the answer. What
             comes while none is out belongs to nobody, and what has begun must end. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
+            if (relay != null) {
+                relayed();
+            }
             if (attempt != null) {
-                if (answers.midway() && attempt.stall == null) {
-                    Attempt stalled = attempt;
-                    stalled.stall = loop.schedule(() -> stalled.stop(Outcome.DROPPED), STALL, TimeUnit.MICROSECONDS);
+                if (relay == null && answers.midway()) {
+                    awaitMore(attempt, STALL);
+                    holdOpenEnded(context, attempt);
                 }
             } else if (answered && !answers.midway() && peer.sendUntil == Long.MAX_VALUE && at.equals(peer.at)
                     && born == peer.born) {
@@ -406,6 +557,17 @@
             answered = false;
         }
 
+        private void holdOpenEnded(ChannelHandlerContext context, Attempt mine) {
+            if (assembler.holdsOpenEnded() && mine.hold == null) {
+                mine.hold = loop.schedule(() -> {
+                    if (!mine.over && assembler.holdsOpenEnded()) {
+                        assembler.relay(context.pipeline().context(assembler));
+                        awaitMore(mine, RELAY_STALL);
+                    }
+                }, OPEN_ENDED_HELD, TimeUnit.MICROSECONDS);
+            }
+        }
+
         private Outcome outcome(FullHttpResponse answer) {
             return switch (answer.status().code()) {
                 case 200 -> Outcome.DELIVERED;
--- a/src/test/java/mastdrift/SilentServerTest.java
+++ b/src/test/java/mastdrift/SilentServerTest.java
@@ -53,6 +53,41 @@
         assertEquals(List.of("h2"), gateway.probes);
     }
 
+    /** What is read or written slowly for seconds is no sign of silence, of a queue, or of an overload. */
+    @Test
+    void streamsThatLastTakeNoServerDownAndRefuseNobody() {
+        Gateway gateway = new Gateway().start(4);
+        gateway.serve(200, 5_000, 5_000);
+        int before = gateway.sent.size();
+        for (int i = 0; i < 80; i++) {
+            long id = gateway.request("read", null, 5_000_000L + i, 600_000);
+            gateway.module.streaming(gateway.now, id, 0);
+            gateway.advance(50_000);
+        }
+        List<Gateway.Sent> streams = List.copyOf(gateway.sent.subList(before, gateway.sent.size()));
+        gateway.serve(100, 5_000, 5_000);
+        assertEquals(80, streams.size());
+        assertEquals(List.of(), gateway.refused);
+        assertEquals(0, gateway.module.excluded(gateway.now));
+        for (Gateway.Sent stream : streams) {
+            gateway.end(stream, Outcome.DELIVERED, 5_000);
+        }
+        gateway.advance(1_000_000);
+        gateway.serve(100, 5_000, 5_000);
+        assertEquals(List.of(), gateway.refused);
+    }
+
+    /** Nothing is kept of what has gone out in pieces: another host can't have it. */
+    @Test
+    void aStreamThatFailsIsNotSentAgain() {
+        Gateway gateway = new Gateway().start(4);
+        long id = gateway.request(7L);
+        gateway.module.streaming(gateway.now, id, 0);
+        gateway.end(gateway.last(), Outcome.DROPPED);
+        assertEquals(1, gateway.sends(id).size());
+        assertTrue(gateway.answered(id));
+    }
+
     /** Remembered keys must leave a server with the failure that takes it down, not at the next refresh. */
     @Test
     void rememberedKeysLeaveADownServerAtOnce() {
--- /dev/null
+++ b/src/test/java/mastdrift/net/LongBodyTest.java
@@ -0,0 +1,317 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.answer;
+import static mastdrift.net.Loopback.await;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.host;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.post;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import mastdrift.net.Loopback.Message;
+import mastdrift.net.Loopback.Node;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bodies that are too long to be held: passed on in pieces, both ways, and what that forbids. */
+class LongBodyTest {
+
+    private static final int LONG = 3_000_000;
+
+    @TempDir
+    private Path folder;
+
+    private Node node(Server discovery, Server... hosts) throws Exception {
+        List<String> entries = new ArrayList<>();
+        for (Server host : hosts) {
+            entries.add(entry("s" + entries.size(), host.address(), "a", "in_service"));
+        }
+        return new Node(environment(folder, discovery, list(1, true, entries.toArray(new String[0])), SETTINGS));
+    }
+
+    private static byte[] bytes(int count) {
+        byte[] bytes = new byte[count];
+        new Random(7).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static String head(String framing) {
+        return post("start", 20_000, "").replaceFirst("Content-Length: 0", framing);
+    }
+
+    private static void chunk(OutputStream out, byte[] bytes, int from, int length) throws IOException {
+        out.write((Integer.toHexString(length) + ";piece=\"x;y\"\r\n").getBytes(StandardCharsets.US_ASCII));
+        out.write(bytes, from, length);
+        out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static void chunks(OutputStream out, byte[] bytes, int size) throws IOException {
+        for (int from = 0; from < bytes.length; from += size) {
+            chunk(out, bytes, from, Math.min(size, bytes.length - from));
+        }
+        out.write("0\r\nX-Trailer: 1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"length", "chunks"})
+    void aLongRequestPassesUnchangedAndItsConnectionIsKept(String framing) throws Exception {
+        byte[] body = bytes(LONG);
+        try (Server discovery = discovery(); Server host = host("taken"); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            for (int i = 0; i < 2; i++) {
+                if (framing.equals("length")) {
+                    write(client, head("Content-Length: " + LONG));
+                    client.getOutputStream().write(body);
+                } else {
+                    write(client, head("Transfer-Encoding: chunked"));
+                    chunks(client.getOutputStream(), body, 70_001);
+                }
+                assertEquals("taken", Loopback.read(client).text());
+                Message got = await(host.received);
+                assertArrayEquals(body, got.body());
+                assertEquals("9b1f", got.header("X-Trace-Id"));
+                assertEquals("5c0f", got.header("Idempotency-Key"));
+            }
+            assertEquals(1, host.accepted.size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"length", "chunks"})
+    void aLongAnswerPassesUnchangedAndConnectionsAreKept(String framing) throws Exception {
+        byte[] body = bytes(LONG);
+        try (Server discovery = discovery(); Server host = new Server(message -> {
+            boolean length = framing.equals("length");
+            write(message.socket(), "HTTP/1.1 200 OK\r\nContent-Type: image/png\r\n"
+                    + (length ? "Content-Length: " + LONG : "Transfer-Encoding: chunked") + "\r\n\r\n");
+            if (length) {
+                message.socket().getOutputStream().write(body);
+            } else {
+                chunks(message.socket().getOutputStream(), body, 999);
+            }
+        }); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            for (int i = 0; i < 2; i++) {
+                write(client, read(20_000));
+                Message answer = Loopback.read(client);
+                assertEquals(200, answer.status());
+                assertEquals("image/png", answer.header("Content-Type"));
+                assertArrayEquals(body, answer.body());
+            }
+            assertEquals(1, host.accepted.size());
+        }
+    }
+
+    /** Guards against a long answer that is held back: its first bytes count, and its length may not be told. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 70000", "Transfer-Encoding: chunked"})
+    void anAnswerThatMayBeLongIsPassedOnBeforeItsEnd(String framing) throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        boolean chunked = framing.contains("chunked");
+        try (Server discovery = discovery(); Server host = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n" + (chunked ? "1\r\nx\r\n" : "x"));
+            seen.await();
+            write(message.socket(), chunked ? "0\r\n\r\n" : "y".repeat(69_999));
+        }); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            write(client, read(1_000_000));
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("x") < 0) {
+                int next = client.getInputStream().read();
+                assertTrue(next >= 0, head.toString());
+                head.append((char) next);
+            }
+            assertTrue(head.toString().startsWith("HTTP/1.1 200 OK"), head.toString());
+            seen.countDown();
+            byte[] rest = client.getInputStream().readNBytes(chunked ? 7 : 69_999);
+            assertTrue(new String(rest, StandardCharsets.US_ASCII).endsWith(chunked ? "0\r\n\r\n" : "y"));
+        }
+    }
+
+    /** Guards against a part that passes for the whole. */
+    @Test
+    void anAnswerThatBreaksOnItsWayEndsTheClientsConnection() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(80_000));
+            message.socket().close();
+        }); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            write(client, read(20_000));
+            assertNull(Loopback.read(client));
+            assertEquals(-1, client.getInputStream().read());
+        }
+    }
+
+    /** Guards against a second effect: what is not kept can't be sent again, though its class would allow it. */
+    @Test
+    void aLongRequestThatMayHaveRunIsNotSentAgain() throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        Loopback.Script breaks = message -> {
+            count.incrementAndGet();
+            message.socket().close();
+        };
+        try (Server discovery = discovery(); Server one = new Server(breaks); Server two = new Server(breaks);
+                Node node = node(discovery, one, two)) {
+            assertEquals(502, node.ask(head("Content-Length: 100000") + "x".repeat(100_000)).status());
+            assertEquals(1, count.get());
+            assertEquals(502, node.ask(post("start", 20_000, "short")).status());
+            assertEquals(3, count.get());
+        }
+    }
+
+    /** A host that can't be reached has taken nothing of the body yet. */
+    @Test
+    void aLongRequestGoesOnToAnotherHostWhereNoConnectionComesUp() throws Exception {
+        Server closed = host("");
+        closed.close();
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, closed, closed, host)) {
+            for (int i = 0; i < 6; i++) {
+                Message answer = node.ask(head("Content-Length: 100000").replace("7f3a", "key" + i) + "x".repeat(100_000));
+                assertEquals("ok", answer.text());
+            }
+        }
+    }
+
+    /** Guards against a body whose end is in doubt, and that runs. */
+    @Test
+    void aLongRequestThatTurnsOutBadNeverRuns() throws Exception {
+        try (Server discovery = discovery(); Server host = host("ran"); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            write(client, head("Transfer-Encoding: chunked"));
+            chunk(client.getOutputStream(), bytes(100_000), 0, 100_000);
+            write(client, "zz\r\n");
+            assertNull(Loopback.read(client));
+            assertNotNull(await(host.ended));
+            assertTrue(host.received.isEmpty());
+        }
+    }
+
+    @Test
+    void aClientThatLeavesInTheMiddleEndsTheAttempt() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + "x".repeat(100_000));
+        }); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            write(client, read(20_000));
+            assertEquals(100, client.getInputStream().readNBytes(100).length);
+            client.close();
+            assertNotNull(await(host.ended));
+        }
+    }
+
+    /** Guards against an answer that gets lost where the client still sends: the rest is read, then the close comes. */
+    @Test
+    void anAnswerAheadOfTheBodysEndArrives() throws Exception {
+        try (Server discovery = discovery(); Node node = node(discovery)) {
+            Socket client = node.connect();
+            write(client, head("Content-Length: 1000000"));
+            Message answer = Loopback.read(client);
+            assertEquals(503, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            client.getOutputStream().write(new byte[1_000_000]);
+            assertEquals(-1, client.getInputStream().read());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {10, 200_000})
+    void aClientThatWaitsToBeAskedIsAsked(int length) throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            write(client, read(20_000) + head("Content-Length: " + length + "\r\nExpect: 100-continue").replace("9b1f", "2"));
+            assertEquals(200, Loopback.read(client).status());
+            assertEquals(100, Loopback.read(client).status());
+            write(client, "x".repeat(length));
+            assertEquals(200, Loopback.read(client).status());
+            assertEquals(length, await(host.received).body().length + await(host.received).body().length);
+        }
+    }
+
+    /** Guards against a bound on the whole that slow but proper clients can't keep. */
+    @Test
+    void aBodyMayTakeItsTimeAsLongAsItComes() throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            write(client, head("Content-Length: 600000"));
+            for (int i = 0; i < 60; i++) {
+                write(client, "x".repeat(10_000));
+                Thread.sleep(60);
+            }
+            assertEquals(200, Loopback.read(client).status());
+        }
+    }
+
+    private static ByteBuf piece(int length) {
+        return Unpooled.wrappedBuffer(new byte[length]);
+    }
+
+    /** Guards against memory that grows with a body: a full relay says so, and goes on once its channel takes more. */
+    @Test
+    void aRelayAsksForAPauseWhileItsChannelTakesNothing() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        Relay relay = new Relay();
+        List<Boolean> full = new ArrayList<>();
+        List<Boolean> done = new ArrayList<>();
+        relay.onPace(() -> full.add(relay.full()));
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        relay.writeTo(channel, done::add);
+        for (int i = 0; i < 3; i++) {
+            relay.add(piece(20_000));
+        }
+        assertEquals(List.of(true, true), full);
+        assertTrue(relay.waits());
+        assertNull(channel.readOutbound());
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        relay.goOn();
+        assertFalse(relay.full());
+        assertEquals(false, full.get(full.size() - 1));
+        assertTrue(done.isEmpty());
+        relay.end();
+        assertEquals(List.of(true), done);
+        for (Object out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+            ReferenceCountUtil.release(out);
+        }
+    }
+
+    /** Guards against pieces that nobody releases. */
+    @Test
+    void anAbandonedRelayDropsWhatItHoldsAndWhatComes() {
+        Relay relay = new Relay();
+        ByteBuf held = piece(40_000);
+        ByteBuf late = piece(1);
+        relay.add(held);
+        relay.abandon();
+        relay.add(late);
+        assertFalse(relay.full());
+        assertEquals(0, held.refCnt());
+        assertEquals(0, late.refCnt());
+    }
+}
