--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -45,14 +45,15 @@
             Config config = Config.read(System.getenv());
             ServerSocketChannel passed = config.passedSocket() ? passed() : null;
             Tally tally = config.tally();
-            if (config.admin() != null) {
-                Admin admin = Admin.open(config.admin(), loop(), life, tally);
-                System.out.println("operators may call " + admin.address());
-            }
-            Rehearsal.play(config, loop(), System.out);
+            InetSocketAddress admin = config.admin() == null ? null
+                    : Admin.open(config.admin(), loop(), life, tally).address();
+            Rehearsal.play(config, admin, loop(), System.out);
             if (List.of(args).contains(REHEARSE)) {
                 System.exit(0);
             }
+            if (admin != null) {
+                System.out.println("operators may call " + admin);
+            }
             ClientSide clients = start(config, passed, loop, life, tally, System.out);
             started.complete(clients.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -42,19 +42,22 @@
     private static final int REQUESTS = 400;
     private static final int HOSTS = 8;
     private static final int FAILING = 16;  // of so many requests one fails, so that other paths are met too
+    private static final int LONG = 20;  // and one is long, both ways
+    private static final int LONG_BODY = Assembler.HELD_MOST + (16 << 10);
     private static final int PATIENCE_MILLIS = 1000;
 
     private Rehearsal() { }
 
-    /** Plays it once; a rehearsal that goes wrong costs speed alone. */
-    static void play(Config config, EventLoop loop, PrintStream out) {
+    /** Plays it once, with operators' calls at {@code admin} where they may call; a rehearsal that goes wrong costs speed
+        alone. */
+    static void play(Config config, InetSocketAddress admin, EventLoop loop, PrintStream out) {
         InetSocketAddress any = new InetSocketAddress(config.listen().getAddress(), 0);
         try {
             Channel host = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
+                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONG_BODY),
                                     new StandIn());
                         }
                     }).bind(any).sync().channel();
@@ -71,6 +74,10 @@
             clients.listen(any).sync();
             life.started(() -> { });
             ask(clients.address(), config);
+            if (admin != null) {
+                call(admin, "GET /status");
+                call(admin, "GET /status/metrics");
+            }
         } catch (IOException e) {
             out.println("rehearsal ended early: " + e);
         } catch (InterruptedException e) {
@@ -88,20 +95,31 @@
             socket.setTcpNoDelay(true);
             BufferedReader in = new BufferedReader(
                     new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            String longBody = "-".repeat(LONG_BODY);
             for (int i = 0; i < REQUESTS; i++) {
                 RequestClass type = classes.get(i % classes.size());
                 boolean safe = type.repeat() == Repeat.SAFE;
+                boolean isLong = !safe && i % LONG == LONG - 1;
                 String request = (i == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
                         + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + i + "\r\nX-Qos: " + type.name()
                         + "\r\nX-Customer: " + tenant + "\r\nX-Object: " + i % HOSTS + "\r\n" + HostPool.EXPIRES + ": "
                         + PATIENCE_MILLIS + (type.repeat() == Repeat.KEYED ? "\r\nIdempotency-Key: " + i : "")
-                        + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : "4\r\n\r\nbody");
+                        + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : isLong ? LONG_BODY + "\r\n\r\n" + longBody
+                        : "4\r\n\r\nbody");
                 socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
                 readAnswer(in);
             }
         }
     }
 
+    private static void call(InetSocketAddress at, String line) throws IOException {
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            socket.getOutputStream().write((line + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            readAnswer(new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1)));
+        }
+    }
+
     private static void readAnswer(BufferedReader in) throws IOException {
         int length = 0;
         for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
@@ -109,7 +127,12 @@
                 length = Integer.parseInt(line.substring(15).strip());
             }
         }
-        in.skip(length);
+        for (long left = length; left > 0; left -= in.skip(left)) {
+            if (in.read() < 0) {
+                return;
+            }
+            left--;
+        }
     }
 
     /** Stands in for hosts, and for a discovery that is down. */
@@ -122,7 +145,8 @@
             boolean fails = ++count % FAILING == 0 || !request.uri().equals("/api");
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     fails ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK,
-                    Unpooled.copiedBuffer("answer", StandardCharsets.US_ASCII));
+                    request.content().readableBytes() == LONG_BODY ? request.content().retain()
+                            : Unpooled.copiedBuffer("answer", StandardCharsets.US_ASCII));
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
             context.writeAndFlush(answer);
         }
