End a body that stalls by its last byte, not by the bytes that came before

A peer that sends 64 KB at once and then nothing had 4.6 s by the pace alone; what is improper is owed an end within 3 s of connecting.

--- a/src/main/java/mastdrift/net/Assembler.java
+++ b/src/main/java/mastdrift/net/Assembler.java
@@ -41,7 +41,7 @@
     private long length;  // of its body as told, negative where it isn't
     private long bytes;
 
-    /** How much has come of the body of the message that is coming. */
+    /** How much has come of the body of the message that is coming; 0 between two. */
     long bytes() {
         return bytes;
     }
@@ -105,7 +105,10 @@
             } else if (last) {
                 rest.end();
             }
-            rest = fault != null || last ? null : rest;
+            if (fault != null || last) {
+                rest = null;
+                bytes = 0;
+            }
         } else if (held != null) {
             if (piece.isReadable()) {
                 held.addComponent(true, piece.retain());
@@ -129,6 +132,7 @@
         }
         head = null;
         held = null;
+        bytes = relay == null ? 0 : bytes;
         context.fireChannelRead(new Part(message, relay));
     }
 
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -69,8 +69,9 @@
     // A request's head has to be there so long after its connection came, or after its first byte on one in use: the bound
     // is not moved by what trickles in. Clients may take 2 s for one, and what never asks is owed an end within 3 s.
     private static final long HEAD_IN = 2_600_000;
-    // A body may come at 64 kB a second; twice as long is borne. Microseconds a byte.
+    // A body may come at 64 kB a second, in pieces: half of that is borne, in microseconds a byte, and so is a pause.
     private static final double BODY_PACE = 1e6 / 32_000;
+    private static final long BODY_PAUSE = 2_000_000;
     // After an answer that came before its request was whole, the rest is read and dropped for so long.
     private static final long LINGER_MILLIS = 2000;
     /** Hundreds of connections may each hold a read and a write of this size. */
@@ -263,6 +264,7 @@
         private boolean lingering;  // answered, and closes with the end of what is coming
         private long idleSince = gateway.now();
         private long partSince;  // since when there is a part of a request, 0 while there is none
+        private long readAt;  // when something was read last, or reading went on
         private long pausedAt;  // since when nothing is read, 0 while something is
 
         Connection(Channel channel, Assembler assembler) {
@@ -277,7 +279,8 @@
                 return;
             }
             if (reads) {
-                partSince += partSince == 0 ? 0 : gateway.now() - pausedAt;
+                readAt = gateway.now();
+                partSince += partSince == 0 ? 0 : readAt - pausedAt;
                 pausedAt = 0;
             } else {
                 pausedAt = gateway.now();
@@ -303,8 +306,9 @@
             boolean over;
             if (partSince != 0) {
                 long since = asked ? partSince : idleSince;
-                over = (current == null || coming != null) && pausedAt == 0
-                        && now - since > HEAD_IN + assembler.bytes() * BODY_PACE;
+                boolean slow = now - since > HEAD_IN + assembler.bytes() * BODY_PACE;
+                boolean stalled = now - since > HEAD_IN && now - readAt > BODY_PAUSE;
+                over = (current == null || coming != null) && pausedAt == 0 && (slow || stalled);
             } else {
                 over = current == null && now - idleSince > (drained ? DRAINED_IDLE_MOST : asked ? IDLE_MOST : HEAD_IN);
             }
@@ -355,6 +359,7 @@
         /** What was read without a whole request coming of it is a part of one. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
+            readAt = gateway.now();
             if (coming != null && coming.over()) {
                 boolean whole = coming.whole();
                 coming = null;
