Serve requests that name the whole address for a target

All forms of HTTP/1.1 occur; one with http://service.internal/api got 404. Hosts are asked for the path and query as they came.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -423,6 +423,7 @@
         private void begin(Arrived arrived) {
             FullHttpRequest message = arrived.message;
             Throwable fault = message.decoderResult().cause();
+            message.setUri(originForm(message.uri()));
             String path = new QueryStringDecoder(message.uri()).rawPath();
             if (fault != null) {
                 boolean body = fault instanceof TooLongFrameException && "body".equals(fault.getMessage());
@@ -438,6 +439,13 @@
             }
         }
 
+        /** A client may name the whole address; hosts are asked for the path. */
+        private static String originForm(String uri) {
+            int scheme = uri.regionMatches(true, 0, "http://", 0, 7) ? 7 : 0;
+            int path = scheme == 0 ? 0 : uri.indexOf('/', scheme);
+            return path < 0 ? "/" : uri.substring(path);
+        }
+
         private void take(FullHttpRequest message, long waited) {
             HttpHeaders headers = message.headers();
             RequestClass type = classes.get(headers.get("X-Qos", ""));
--- a/src/test/java/mastdrift/net/ServingTest.java
+++ b/src/test/java/mastdrift/net/ServingTest.java
@@ -63,6 +63,16 @@
         }
     }
 
+    /** One form that HTTP/1.1 has for the target of any request; hosts are sent the usual one. */
+    @Test
+    void aWholeAddressForATargetIsServed() throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, up("s1", host))) {
+            assertEquals(200, node.ask(post("once", 20_000, "x").replace("/api/x", "HTTP://s:80/api/x")).status());
+            assertEquals("POST /api/x?y=1%20z HTTP/1.1", await(host.received).line());
+            assertEquals(200, node.ask("GET http://s/ready HTTP/1.1\r\nHost: s\r\n\r\n").status());
+        }
+    }
+
     /** Acts as told on the first request that reaches any of its hosts, and serves the others. */
     private static Script first(AtomicInteger count, String what) {
         return message -> {
