Let pauses between failed calls to a pushing registry grow, each gateway's its own

Where the registry pushes, mustAskIn is 0, and with it the pause after a failed watch (Balance.hosts): every gateway of a fleet called again with its next refresh, twice a second for as long as callers were turned away. Now 0.25 to 0.5 s, doubling up to 1 to 2 s, which leaves time for what counts as told after 6 s.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -1001,7 +1001,9 @@
         if (form == ListForm.FAILED) {
             askFailures++;
             // Bounded before it is shifted: after 63 failures the span would be negative and the asking end.
-            long backoff = settings.rules().mustAskIn() / 8 * (1L << Math.min(3, askFailures));
+            // Where the registry pushes, a watch has no span of its own: the refreshes' is as good.
+            long least = settings.rules().mustAskIn() > 0 ? settings.rules().mustAskIn() / 8 : REFRESH / 2;
+            long backoff = least * (1L << Math.min(3, askFailures));
             askAt = now + backoff / 2 + random.nextLong(backoff / 2 + 1);
             return;
         }
--- a/src/test/java/mastdrift/EdgeTest.java
+++ b/src/test/java/mastdrift/EdgeTest.java
@@ -9,7 +9,9 @@
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Repeat;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Late, repeated and odd events; settings at their edges. */
@@ -88,6 +90,36 @@
         }
     }
 
+    /** Guards against a fleet that calls in step, twice a second each, while the registry turns callers away: pauses grow,
+        differ from one gateway to the next, and end in time to hear of a drain. */
+    @Test
+    void callsThatArePushedAndFailComeInGrowingPausesOfTheirOwn() {
+        Set<Long> firsts = new HashSet<>();
+        for (int g = 0; g < 20; g++) {
+            Gateway gateway = new Gateway();
+            gateway.seed = g;
+            gateway.start(2);
+            long startedAt = gateway.now;
+            int before = gateway.watches;
+            long last = 0;
+            for (int call = 0; gateway.now - startedAt < 20_000_000; call++) {
+                gateway.module.hosts(gateway.now, ListForm.FAILED, List.of());
+                long failedAt = gateway.now;
+                while (gateway.watches == before + call) {
+                    gateway.advance(10_000);
+                }
+                last = gateway.now - failedAt;
+                assertTrue(last <= 2_500_000, "paused " + last);
+                if (call == 2) {
+                    firsts.add(gateway.now - startedAt);
+                }
+            }
+            assertTrue(last >= 1_000_000, "paused " + last);
+            assertTrue(gateway.watches - before <= 20, "calls " + (gateway.watches - before));
+        }
+        assertTrue(firsts.size() >= 15, "moments of the third call " + firsts);
+    }
+
     @Test
     void impossibleSettingsAreNamed() {
         Gateway gateway = new Gateway();
