Keep a short answer's deadline where it is passed on early, and hold bodies without copies

An answer in chunks is passed on after 50 ms, since it may be a long one; one that stalled then kept its client for 5 s. Its time and the pause that is borne stay those of a short one until 64 KiB have come. Of a message in one piece no composite buffer is made.

--- a/src/main/java/mastdrift/net/Assembler.java
+++ b/src/main/java/mastdrift/net/Assembler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
@@ -35,8 +36,8 @@
     /** EXPECTS: a client waits to be asked for the body of the request that is coming. */
     enum Event { EXPECTS }
 
-    private HttpMessage head;
-    private CompositeByteBuf held;
+    private HttpMessage head;  // of the message that is held, null where none is
+    private ByteBuf held = Unpooled.EMPTY_BUFFER;
     private Relay rest;
     private long length;  // of its body as told, negative where it isn't
     private long bytes;
@@ -46,9 +47,14 @@
         return bytes;
     }
 
+    /** Whether the message that is coming is known to be a long one. */
+    boolean isLong() {
+        return length > HELD_MOST || bytes > HELD_MOST;
+    }
+
     /** Of the message that is held now, the end is not known and something has come. */
     boolean holdsOpenEnded() {
-        return held != null && length < 0 && held.isReadable();
+        return head != null && length < 0 && held.isReadable();
     }
 
     /** Passes on what is held, with a relay for the rest. */
@@ -74,7 +80,6 @@
         Throwable fault = message.decoderResult().cause();
         length = fault != null || HttpUtil.isTransferEncodingChunked(message) ? -1
                 : HttpUtil.getContentLength(message, -1L);
-        held = context.alloc().compositeBuffer(COMPONENTS_MOST);
         if (fault != null || length > BODY_MOST) {
             pass(context, fault != null ? fault : tooLong(), null);
             return;
@@ -109,10 +114,8 @@
                 rest = null;
                 bytes = 0;
             }
-        } else if (held != null) {
-            if (piece.isReadable()) {
-                held.addComponent(true, piece.retain());
-            }
+        } else if (head != null) {
+            hold(context, piece);
             if (fault != null || last) {
                 pass(context, fault, null);
             } else if (held.readableBytes() > HELD_MOST || length > HELD_MOST && held.isReadable()) {
@@ -121,6 +124,21 @@
         }
     }
 
+    /** Mostly there is one piece. */
+    private void hold(ChannelHandlerContext context, ByteBuf piece) {
+        if (!piece.isReadable()) {
+            return;
+        }
+        if (!held.isReadable()) {
+            held = piece.retain();
+            return;
+        }
+        if (!(held instanceof CompositeByteBuf)) {
+            held = context.alloc().compositeBuffer(COMPONENTS_MOST).addComponent(true, held);
+        }
+        ((CompositeByteBuf) held).addComponent(true, piece.retain());
+    }
+
     private void pass(ChannelHandlerContext context, Throwable fault, Relay relay) {
         FullHttpMessage message = head instanceof HttpRequest request
                 ? new DefaultFullHttpRequest(request.protocolVersion(), request.method(), request.uri(), held,
@@ -131,16 +149,15 @@
             message.setDecoderResult(DecoderResult.failure(fault));
         }
         head = null;
-        held = null;
+        held = Unpooled.EMPTY_BUFFER;
         bytes = relay == null ? 0 : bytes;
         context.fireChannelRead(new Part(message, relay));
     }
 
     private void drop() {
-        if (held != null) {
-            held.release();
-            held = null;
-        }
+        held.release();
+        held = Unpooled.EMPTY_BUFFER;
+        head = null;
         if (rest != null) {
             rest.fail();
             rest = null;
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -499,11 +499,11 @@
                 }
                 return;
             }
-            mine.stopTimers();
             relay = rest;
             keepAlive = HttpUtil.isKeepAlive(answer);
             rest.onPace(() -> channel.config().setAutoRead(!rest.full()));
             mine.ended.begun(answer, rest);
+            awaitMore(mine);
         }
 
         /** Ends the attempt once its answer has been read to the end, and otherwise sees to it that this comes. */
@@ -518,8 +518,16 @@
                 idleSince = clock.getAsLong();
                 mine.end(whole ? Outcome.DELIVERED : Outcome.DROPPED, null);
             } else {
-                awaitMore(mine, RELAY_STALL);
+                awaitMore(mine);
+            }
+        }
+
+        /** Of a long answer the first bytes were timed. One that may yet be a short one has to end in its time. */
+        private void awaitMore(Attempt mine) {
+            if (assembler.isLong()) {
+                mine.stopTimers();
             }
+            awaitMore(mine, assembler.isLong() ? RELAY_STALL : STALL);
         }
 
         private void awaitMore(Attempt mine, long most) {
@@ -562,7 +570,6 @@
                 mine.hold = loop.schedule(() -> {
                     if (!mine.over && assembler.holdsOpenEnded()) {
                         assembler.relay(context.pipeline().context(assembler));
-                        awaitMore(mine, RELAY_STALL);
                     }
                 }, OPEN_ENDED_HELD, TimeUnit.MICROSECONDS);
             }
--- a/src/test/java/mastdrift/net/LongBodyTest.java
+++ b/src/test/java/mastdrift/net/LongBodyTest.java
@@ -156,6 +156,21 @@
         }
     }
 
+    /** Guards against a client that waits past its time for an answer that was passed on early and goes no further. */
+    @Test
+    void anAnswerOfNoToldLengthThatStallsEndsTheClientsConnectionInItsTime() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> write(message.socket(),
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"));
+                Node node = node(discovery, host)) {
+            Socket client = node.connect();
+            write(client, read(1_000));
+            client.setSoTimeout(4_000);  // before a long answer would be given up
+            assertNull(Loopback.read(client));
+            client.setSoTimeout(1);  // closed, not just silent for so long
+            assertEquals(-1, client.getInputStream().read());
+        }
+    }
+
     /** Guards against a part that passes for the whole. */
     @Test
     void anAnswerThatBreaksOnItsWayEndsTheClientsConnection() throws Exception {
