--- a/src/main/java/mastdrift/net/Assembler.java
+++ b/src/main/java/mastdrift/net/Assembler.java
@@ -47,11 +47,6 @@
         return bytes;
     }
 
-    /** Whether the message that is coming is known to be a long one. */
-    boolean isLong() {
-        return length > HELD_MOST || bytes > HELD_MOST;
-    }
-
     /** Of the message that is held now, the end is not known and something has come. */
     boolean holdsOpenEnded() {
         return head != null && length < 0 && held.isReadable();
@@ -154,6 +149,18 @@
         context.fireChannelRead(new Part(message, relay));
     }
 
+    /** What is coming won't be whole, whatever comes. */
+    void breakOff() {
+        drop();
+    }
+
+    /** A connection that breaks doesn't end a message, not even one that lasts to the connection's end. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        drop();
+        context.fireExceptionCaught(cause);
+    }
+
     private void drop() {
         held.release();
         held = Unpooled.EMPTY_BUFFER;
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -59,6 +59,9 @@
     private static final int PIPELINED_MOST = 8;
     // A client that takes nothing of its answer for so long is gone.
     private static final int WRITE_SECONDS = 10;
+    // Of the system, which else grows it to megabytes and asks for more only once a third of it is free: a client that
+    // reads 64 kB a second would seem to take nothing for longer than that.
+    private static final int SEND_BUFFER = 128 << 10;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
     // For so long, at the most, clients are served on the connections that they have, since other gateways may be away
@@ -150,6 +153,7 @@
         return new ServerBootstrap().group(loop)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, readSizes())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_SIZES)
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -57,7 +57,7 @@
     private static final long STALL = 250_000;
     // One that is being relayed may be read and written slowly, and can't be had from another host any more.
     private static final long RELAY_STALL = 5_000_000;
-    // An answer whose length is not told is held for so long; then it may be a long one, of which the first bytes count.
+    // An answer whose length is not told, and that comes for longer, may be a long one, of which the first bytes count.
     private static final long OPEN_ENDED_HELD = 50_000;
     private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
 
@@ -269,7 +269,7 @@
         private long movedAt;  // when the host last took a piece of the rest, or none was there
         private Future<?> timer;
         private Future<?> stall;
-        private Future<?> hold;
+        private long firstAt;  // when an answer of which the length is not told was first seen, 0 before
         private Channel channel;
         private boolean sending;
         private boolean written;
@@ -295,9 +295,6 @@
             if (stall != null) {
                 stall.cancel(false);
             }
-            if (hold != null) {
-                hold.cancel(false);
-            }
         }
 
         /** While its rest goes out: ends where the host takes nothing of what there is. */
@@ -323,6 +320,10 @@
         private void stop(Outcome outcome) {
             if (!over) {
                 end(outcome, null);
+                Assembler assembler = channel.pipeline().get(Assembler.class);
+                if (assembler != null) {
+                    assembler.breakOff();  // or the close might pass for the end of an answer that is told by it
+                }
                 channel.close();
             }
         }
@@ -340,7 +341,8 @@
         }
     }
 
-    /** Reads answers; one whose length is told twice or not at all can't be told from a broken or a longer one. */
+    /** Reads answers; one whose length is told twice, or not at all while its connection is to be kept, can't be told from
+        a broken or a longer one. */
     private static final class Answers extends HttpResponseDecoder {
 
         private boolean begun;
@@ -354,7 +356,10 @@
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             boolean empty = super.isContentAlwaysEmpty(message);
-            if (!empty && HttpUtil.isContentLengthSet(message) == HttpUtil.isTransferEncodingChunked(message)) {
+            boolean length = HttpUtil.isContentLengthSet(message);
+            boolean chunks = HttpUtil.isTransferEncodingChunked(message);
+            boolean endsWithConnection = !length && !chunks && !HttpUtil.isKeepAlive(message);
+            if (!empty && length == chunks && !endsWithConnection) {
                 throw new IllegalArgumentException("an answer with no length, or with two");
             }
             return empty;
@@ -499,11 +504,12 @@
                 }
                 return;
             }
+            mine.stopTimers();
             relay = rest;
             keepAlive = HttpUtil.isKeepAlive(answer);
             rest.onPace(() -> channel.config().setAutoRead(!rest.full()));
             mine.ended.begun(answer, rest);
-            awaitMore(mine);
+            awaitMore(mine, RELAY_STALL);
         }
 
         /** Ends the attempt once its answer has been read to the end, and otherwise sees to it that this comes. */
@@ -518,17 +524,10 @@
                 idleSince = clock.getAsLong();
                 mine.end(whole ? Outcome.DELIVERED : Outcome.DROPPED, null);
             } else {
-                awaitMore(mine);
+                awaitMore(mine, RELAY_STALL);
             }
         }
 
-        /** Of a long answer the first bytes were timed. One that may yet be a short one has to end in its time. */
-        private void awaitMore(Attempt mine) {
-            if (assembler.isLong()) {
-                mine.stopTimers();
-            }
-            awaitMore(mine, assembler.isLong() ? RELAY_STALL : STALL);
-        }
 
         private void awaitMore(Attempt mine, long most) {
             if (mine.stall != null) {
@@ -553,7 +552,7 @@
             if (attempt != null) {
                 if (relay == null && answers.midway()) {
                     awaitMore(attempt, STALL);
-                    holdOpenEnded(context, attempt);
+                    passOnOpenEnded(context, attempt);
                 }
             } else if (answered && !answers.midway() && peer.sendUntil == Long.MAX_VALUE && at.equals(peer.at)
                     && born == peer.born) {
@@ -565,13 +564,14 @@
             answered = false;
         }
 
-        private void holdOpenEnded(ChannelHandlerContext context, Attempt mine) {
-            if (assembler.holdsOpenEnded() && mine.hold == null) {
-                mine.hold = loop.schedule(() -> {
-                    if (!mine.over && assembler.holdsOpenEnded()) {
-                        assembler.relay(context.pipeline().context(assembler));
-                    }
-                }, OPEN_ENDED_HELD, TimeUnit.MICROSECONDS);
+        /** Only on what has just come: an answer that has stopped may yet be had from another host. */
+        private void passOnOpenEnded(ChannelHandlerContext context, Attempt mine) {
+            if (assembler.holdsOpenEnded()) {
+                long now = clock.getAsLong();
+                mine.firstAt = mine.firstAt == 0 ? now : mine.firstAt;
+                if (now - mine.firstAt >= OPEN_ENDED_HELD) {
+                    assembler.relay(context.pipeline().context(assembler));
+                }
             }
         }
 
--- a/src/main/java/mastdrift/net/Relay.java
+++ b/src/main/java/mastdrift/net/Relay.java
@@ -87,26 +87,26 @@
     /** The writer's channel takes more. */
     void goOn() {
         boolean before = full();
+        Channel channel = to;
         boolean wrote = false;
-        while (to != null && to.isWritable() && !pieces.isEmpty()) {
+        while (channel != null && channel.isWritable() && !pieces.isEmpty()) {
             ByteBuf piece = pieces.poll();
             held -= piece.readableBytes();
-            to.write(new DefaultHttpContent(piece));
+            channel.write(new DefaultHttpContent(piece));  // may come back here, and that one may finish
             wrote = true;
         }
         if (wrote) {
-            to.flush();
+            channel.flush();
         }
         if (before && !full()) {
             pace.run();
         }
         if (to != null && pieces.isEmpty() && over()) {
-            Channel last = to;
             to = null;
             if (broken) {
                 done.accept(false);
             } else {
-                last.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                         .addListener(written -> done.accept(written.isSuccess()));
             }
         }
