--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -199,6 +199,7 @@
             closing = true;
             accepting = false;
             server.config().setAutoRead(false);
+            gateway.retire();
         } else {
             loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -172,6 +172,11 @@
         }
     }
 
+    /** A successor takes over what comes from now on. */
+    void retire() {
+        hosts.retire();
+    }
+
     /** Discovery is to be asked at another address. */
     void discoverAt(InetSocketAddress at) {
         log("discovery at " + NetUtil.toSocketAddressString(at));
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -59,6 +59,9 @@
     private static final long RELAY_STALL = 5_000_000;
     // An answer whose length is not told, and that comes for longer, may be a long one, of which the first bytes count.
     private static final long OPEN_ENDED_HELD = 50_000;
+    // A gateway that leaves beside its successor keeps connections for so long, and looks so often.
+    private static final long RETIRED_IDLE = 100_000;
+    private static final long RETIRED_SWEEP = 50_000;
     private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
 
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
@@ -88,7 +91,7 @@
     private final EventLoop loop;
     private final LongSupplier clock;
     private final Bootstrap bootstrap;
-    private final long idleMost;
+    private long idleMost;
     private final long grace;
     private final int most;
     private final Map<String, Peer> peers = new HashMap<>();
@@ -246,6 +249,12 @@
         }
     }
 
+    /** This gateway is about to end, and its successor opens connections already: both have one bound on them. */
+    void retire() {
+        idleMost = Math.min(idleMost, RETIRED_IDLE);
+        loop.scheduleWithFixedDelay(this::closeAged, 0, RETIRED_SWEEP, TimeUnit.MICROSECONDS);
+    }
+
     void closeIdle(String uid) {
         if (peers.containsKey(uid)) {
             closeIdle(peers.get(uid));
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -93,6 +93,20 @@
         assertEquals(1, one.accepted.size());
     }
 
+    /** Guards against two processes that hold more connections together than one may. */
+    @Test
+    void whoLeavesBesideASuccessorKeepsNoIdleConnections() throws Exception {
+        HostPool pool = pool(10);
+        assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+        onLoop(() -> {
+            pool.retire();
+            return null;
+        });
+        clock.addAndGet(IDLE / 10);
+        assertNotNull(await(one.ended));
+        assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+    }
+
     /** Guards against a request that meets a host's closing of an idle connection, which ends as a reset. */
     @Test
     void anAgedIdleConnectionIsNotUsedAgain() throws Exception {
