Release what a relay holds where nobody takes it

Found by reading: a client that left while its long request waited behind another, or whose long request was answered without being sent on, left up to 32 KiB and a read in a Relay that nobody emptied (ClientSide.channelInactive, answered; Relay.fail).

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -251,7 +251,16 @@
         }
     }
 
-    private record Arrived(FullHttpRequest message, Relay rest, long at) { }
+    private record Arrived(FullHttpRequest message, Relay rest, long at) {
+
+        /** Nobody takes it. */
+        private void drop() {
+            message.release();
+            if (rest != null) {
+                rest.abandon();
+            }
+        }
+    }
 
     private final class Connection extends SimpleChannelInboundHandler<Assembler.Part> implements Gateway.Client {
 
@@ -331,11 +340,14 @@
             if (connections.size() <= most && accepting) {
                 server.config().setAutoRead(true);
             }
-            waiting.forEach(arrived -> arrived.message.release());
+            waiting.forEach(Arrived::drop);
             waiting.clear();
             if (exchange != null) {
                 exchange.departed();
             }
+            if (currentRest != null) {
+                currentRest.abandon();
+            }
             if (going != null) {
                 going.abandon();
             }
@@ -588,9 +600,11 @@
             exchange = null;
             open.remove(id);
             id = null;
+            if (currentRest != null) {
+                currentRest.abandon();  // it has been written, or nobody takes it
+            }
             if (!keep && currentRest != null && currentRest == coming && !coming.over() && channel.isActive()) {
                 lingering = true;
-                coming.abandon();
                 loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
                 return;
             }
--- a/src/main/java/mastdrift/net/Relay.java
+++ b/src/main/java/mastdrift/net/Relay.java
@@ -52,9 +52,12 @@
         goOn();
     }
 
-    /** What is missing won't come. */
+    /** What is missing won't come; what nobody has begun to write by then is of no use. */
     void fail() {
         broken = !whole;
+        if (to == null && broken) {
+            drop();
+        }
         goOn();
     }
 
@@ -121,9 +124,13 @@
     void abandon() {
         abandoned = true;
         to = null;
+        drop();
+        pace.run();
+    }
+
+    private void drop() {
         pieces.forEach(ByteBuf::release);
         pieces.clear();
         held = 0;
-        pace.run();
     }
 }
--- a/src/test/java/mastdrift/net/LongBodyTest.java
+++ b/src/test/java/mastdrift/net/LongBodyTest.java
@@ -379,6 +379,19 @@
         assertTrue(written.toString().endsWith("\r\n\r\n5\r\npiece\r\n0\r\n\r\n"), written.toString());
     }
 
+    /** The same where its reader breaks off before a writer was found, as with a client that leaves while it waits. */
+    @Test
+    void aRelayThatFailsBeforeAnyoneWritesDropsWhatItHolds() {
+        Relay relay = new Relay();
+        ByteBuf held = piece(10);
+        relay.add(held);
+        relay.fail();
+        assertEquals(0, held.refCnt());
+        List<Boolean> done = new ArrayList<>();
+        relay.writeTo(new EmbeddedChannel(), done::add);
+        assertEquals(List.of(false), done);
+    }
+
     /** Guards against pieces that nobody releases. */
     @Test
     void anAbandonedRelayDropsWhatItHoldsAndWhatComes() {
