--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -381,6 +381,7 @@
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "NODE_CONFIG | /none/such | can't read", "NODE_LISTEN | here | address:port",
+        "NODE_ADMIN | here | address:port", "NODE_ADMIN | 203.0.113.1:9 | no listening for operators on",
         "settings | \"balancers\":0 | gateways can't be 0", "settings | \"balancers\":\"two\" | balancers as a"})
     void aBadConfigurationIsOnePlainLineAndStatus2(String what, String value, String expected) throws Exception {
         try (Server discovery = discovery()) {
