Count a host's silence anew once its client takes more of a long answer

Found by reading: the pause that is borne ran on while the client held the relay full, so a host could be given up in the moment after (HostPool.begun).

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -516,7 +516,12 @@
             mine.stopTimers();
             relay = rest;
             keepAlive = HttpUtil.isKeepAlive(answer);
-            rest.onPace(() -> channel.config().setAutoRead(!rest.full()));
+            rest.onPace(() -> {
+                channel.config().setAutoRead(!rest.full());
+                if (!rest.full() && !mine.over) {
+                    awaitMore(mine, RELAY_STALL);  // the host's turn again, for as long as at first
+                }
+            });
             mine.ended.begun(answer, rest);
             awaitMore(mine, RELAY_STALL);
         }
@@ -537,7 +542,6 @@
             }
         }
 
-
         private void awaitMore(Attempt mine, long most) {
             if (mine.stall != null) {
                 mine.stall.cancel(false);
