Give the time limits on incoming requests a class and a test of their own

Arrival owns since when a part of a request is there, what was paused, and the bounds; ClientSide only asks. No bound changes. ArrivalTest holds them on a clock of its own: slow but proper clients, trickles, a stop after a burst, pauses.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -69,12 +69,6 @@
     private static final long STOP_SERVING_MOST = 1_500_000;
     private static final long STOP_ANSWERED = 400_000;
     private static final long DEADLINE_COUNTED = 3_000_000;  // a longer one puts off the kill no further
-    // A request's head has to be there so long after its connection came, or after its first byte on one in use: the bound
-    // is not moved by what trickles in. Clients may take 2 s for one, and what never asks is owed an end within 3 s.
-    private static final long HEAD_IN = 2_600_000;
-    // A body may come at 64 kB a second, in pieces: half of that is borne, in microseconds a byte, and so is a pause.
-    private static final double BODY_PACE = 1e6 / 32_000;
-    private static final long BODY_PAUSE = 2_000_000;
     // After an answer that came before its request was whole, the rest is read and dropped for so long.
     private static final long LINGER_MILLIS = 2000;
     /** Hundreds of connections may each hold a read and a write of this size. */
@@ -225,7 +219,7 @@
 
     /** Not those that are sending a request: it is answered, and then they close. */
     private void closeIdle() {
-        Stream.concat(silent.stream(), idle.stream()).filter(connection -> connection.partSince == 0).toList()
+        Stream.concat(silent.stream(), idle.stream()).filter(connection -> !connection.arrival.begun()).toList()
                 .forEach(connection -> connection.channel.close());
     }
 
@@ -266,6 +260,7 @@
 
         private final Channel channel;
         private final Assembler assembler;
+        private final Arrival arrival = new Arrival();
         private final Queue<Arrived> waiting = new ArrayDeque<>();
         private FullHttpRequest current;
         private Relay currentRest;  // of its body, null where it came whole
@@ -277,29 +272,18 @@
         private boolean read;
         private boolean lingering;  // answered, and closes with the end of what is coming
         private long idleSince = gateway.now();
-        private long partSince;  // since when there is a part of a request, 0 while there is none
-        private long readAt;  // when something was read last, or reading went on
-        private long pausedAt;  // since when nothing is read, 0 while something is
 
         Connection(Channel channel, Assembler assembler) {
             this.channel = channel;
             this.assembler = assembler;
         }
 
-        /** Reading pauses while there is enough: that time is not the client's. */
+        /** Reading pauses while there is enough. */
         private void pace() {
             boolean reads = waiting.size() <= PIPELINED_MOST && (coming == null || !coming.full());
-            if (reads == (pausedAt == 0)) {
-                return;
-            }
-            if (reads) {
-                readAt = gateway.now();
-                partSince += partSince == 0 ? 0 : readAt - pausedAt;
-                pausedAt = 0;
-            } else {
-                pausedAt = gateway.now();
+            if (arrival.pause(!reads, gateway.now())) {
+                channel.config().setAutoRead(reads);
             }
-            channel.config().setAutoRead(reads);
         }
 
         /** At the bound, the longest idle one makes room; where none is, no more are accepted for now. */
@@ -318,13 +302,11 @@
         private void closeOverdue(long now) {
             boolean asked = !silent.contains(this);
             boolean over;
-            if (partSince != 0) {
-                long since = asked ? partSince : idleSince;
-                boolean slow = now - since > HEAD_IN + assembler.bytes() * BODY_PACE;
-                boolean stalled = now - since > HEAD_IN && now - readAt > BODY_PAUSE;
-                over = (current == null || coming != null) && pausedAt == 0 && (slow || stalled);
+            if (arrival.begun()) {
+                over = (current == null || coming != null) && arrival.overdue(now, asked ? 0 : idleSince, assembler.bytes());
             } else {
-                over = current == null && now - idleSince > (drained ? DRAINED_IDLE_MOST : asked ? IDLE_MOST : HEAD_IN);
+                long idleMost = drained ? DRAINED_IDLE_MOST : asked ? IDLE_MOST : Arrival.HEAD_IN;
+                over = current == null && now - idleSince > idleMost;
             }
             if (over) {
                 channel.close();
@@ -361,9 +343,9 @@
             coming = part.rest();
             if (coming == null) {
                 expects = false;
-                partSince = 0;
+                arrival.end();
             } else {
-                partSince = partSince == 0 ? gateway.now() : partSince;
+                arrival.begin(gateway.now());
                 coming.onPace(this::pace);
             }
             waiting.add(new Arrived((FullHttpRequest) part.message(), coming, gateway.now()));
@@ -376,16 +358,16 @@
         /** What was read without a whole request coming of it is a part of one. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            readAt = gateway.now();
+            arrival.read(gateway.now());
             if (coming != null && coming.over()) {
                 boolean whole = coming.whole();
                 coming = null;
-                partSince = 0;
+                arrival.end();
                 if (!whole || lingering) {
                     channel.close();
                 }
-            } else if (!read && partSince == 0) {
-                partSince = gateway.now();
+            } else if (!read) {
+                arrival.begin(gateway.now());
             }
             read = false;
         }
--- /dev/null
+++ b/src/test/java/mastdrift/net/ArrivalTest.java
@@ -0,0 +1,77 @@
+package mastdrift.net;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Time limits on requests that come in, on a clock of the test's own. */
+class ArrivalTest {
+
+    private static final long CAME = 7_000_000;
+    private static final long SECOND = 1_000_000;
+    private final Arrival arrival = new Arrival();
+
+    /** Reads a body in even pieces of a tenth of a second, as long as it is borne; gives the moment at which it isn't. */
+    private long readBody(long from, long bytes, long bytesPerSecond) {
+        long now = from;
+        for (long got = 0; got < bytes; got += bytesPerSecond / 10) {
+            now += SECOND / 10;
+            arrival.read(now);
+            if (arrival.overdue(now, 0, got)) {
+                return now;
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
+    /** Guards against a bound on the whole: 2 s for the head, then 20 MB at 64 kB a second. */
+    @Test
+    void aSlowButProperClientIsServed() {
+        arrival.begin(CAME);
+        arrival.read(CAME + 2 * SECOND);
+        assertFalse(arrival.overdue(CAME + 2 * SECOND, CAME, 0));
+        assertTrue(readBody(CAME + 2 * SECOND, 20_000_000, 64_000) == Long.MAX_VALUE);
+    }
+
+    @Test
+    void whatTricklesOrStopsIsEndedWithinThreeSeconds() {
+        arrival.begin(CAME);
+        assertTrue(readBody(CAME, 1_000_000, 1_000) < CAME + 3 * SECOND);
+        Arrival burst = new Arrival();
+        burst.begin(CAME);
+        burst.read(CAME + SECOND / 100);
+        assertFalse(burst.overdue(CAME + 2 * SECOND, CAME, 64_000));
+        assertTrue(burst.overdue(CAME + 2_700_000, CAME, 64_000));
+    }
+
+    /** The first request's time is its connection's: a byte just before the end buys none. */
+    @Test
+    void aFirstByteThatComesLateMovesNoBound() {
+        arrival.begin(CAME + 2_500_000);
+        arrival.read(CAME + 2_500_000);
+        assertTrue(arrival.overdue(CAME + 2_700_000, CAME, 0));
+        assertFalse(arrival.overdue(CAME + 2_700_000, 0, 0));
+    }
+
+    /** Guards against a client that is closed for what its host takes slowly. */
+    @Test
+    void timeInWhichNothingIsReadIsNotTheClients() {
+        arrival.begin(CAME);
+        arrival.read(CAME);
+        assertTrue(arrival.pause(true, CAME + SECOND));
+        assertFalse(arrival.pause(true, CAME + 2 * SECOND));
+        assertFalse(arrival.overdue(CAME + 30 * SECOND, 0, 0));
+        assertTrue(arrival.pause(false, CAME + 30 * SECOND));
+        assertFalse(arrival.overdue(CAME + 31 * SECOND, 0, 0));
+        assertTrue(arrival.overdue(CAME + 33 * SECOND, 0, 0));
+    }
+
+    @Test
+    void betweenRequestsNothingIsOverdue() {
+        arrival.begin(CAME);
+        arrival.end();
+        assertFalse(arrival.begun());
+        assertFalse(arrival.overdue(CAME + 60 * SECOND, 0, 0));
+    }
+}
