--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -73,8 +73,8 @@
     private static void reload(Gateway gateway, EventLoop loop) {
         try {
             InetSocketAddress discovery = Config.discovery(System.getenv());
-            loop.execute(() -> gateway.discoverAt(discovery));
             gateway.tally().add(Tally.Count.RELOADS_OK);
+            loop.execute(() -> gateway.discoverAt(discovery));
         } catch (IllegalArgumentException e) {
             gateway.tally().add(Tally.Count.RELOADS_FAILED);
             System.out.println("configuration not taken: " + e.getMessage());
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -347,6 +347,48 @@
         }
     }
 
+    /** One operators' call to the program that the log tells of. */
+    private Message call(String line) throws Exception {
+        String at = log().lines().filter(l -> l.startsWith("operators may call")).findFirst().orElseThrow();
+        try (Socket socket = new Socket("127.0.0.1", Integer.parseInt(at.substring(at.lastIndexOf(':') + 1)))) {
+            socket.setSoTimeout(Loopback.WAIT_SECONDS * 1000);
+            write(socket, line + " HTTP/1.1\r\nHost: s\r\n\r\n");
+            return Loopback.read(socket);
+        }
+    }
+
+    /** Guards against parts that work but are not wired up: the program itself answers operators, drains, counts what it
+        is told at a signal, and ends. */
+    @Test
+    void operatorsMayCallTheProgramFromItsStartToItsStop() throws Exception {
+        try (Server discovery = discovery(); Server moved = discovery(); Server one = host("one")) {
+            Map<String, String> environment = new HashMap<>(
+                    environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
+            environment.put("NODE_ADMIN", "127.0.0.1:0");
+            Process process = start(environment);
+            try {
+                awaitLog("listening on");
+                assertEquals(200, call("GET /status").status());
+                signalHup(process, "{\"discovery\":");
+                awaitLog("configuration not taken");
+                signalHup(process, "{\"discovery\":\"" + moved.address() + "\"}");
+                await(moved.received);
+                String figures = call("GET /status/metrics").text();
+                assertTrue(figures.contains("\nedge_node_reloads_failed_total 1\n"), figures);
+                assertTrue(figures.contains("\nedge_node_reloads_ok_total 1\n"), figures);
+                assertTrue(figures.contains("\nedge_node_hosts_known 1\n"), figures);
+                assertEquals(200, call("POST /standby").status());
+                awaitLog("standby");
+                assertEquals("standby\n", call("GET /status").text());
+                process.destroy();
+                assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue(), log());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     /** Guards against an old list in the place of a newer one, and against a move that the module takes for a failure:
         what the old address says late counts for nothing, and an address that isn't up yet is asked again. */
     @Test
