--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -47,8 +47,9 @@
             Tally tally = config.tally();
             InetSocketAddress admin = config.admin() == null ? null
                     : Admin.open(config.admin(), loop(), life, tally).address();
-            Rehearsal.play(config, admin, loop(), System.out);
-            if (List.of(args).contains(REHEARSE)) {
+            boolean build = List.of(args).contains(REHEARSE);
+            Rehearsal.play(config, admin, build, loop(), System.out);
+            if (build) {
                 System.exit(0);
             }
             if (admin != null) {
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -49,8 +49,8 @@
     private Rehearsal() { }
 
     /** Plays it once, with operators' calls at {@code admin} where they may call; a rehearsal that goes wrong costs speed
-        alone. */
-    static void play(Config config, InetSocketAddress admin, EventLoop loop, PrintStream out) {
+        alone. Long bodies are for the build alone, for the archive's sake: a start has no time for them. */
+    static void play(Config config, InetSocketAddress admin, boolean longToo, EventLoop loop, PrintStream out) {
         InetSocketAddress any = new InetSocketAddress(config.listen().getAddress(), 0);
         try {
             Channel host = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -73,7 +73,7 @@
                     .join();
             clients.listen(any).sync();
             life.started(() -> { });
-            ask(clients.address(), config);
+            ask(clients.address(), config, longToo);
             if (admin != null) {
                 call(admin, "GET /status");
                 call(admin, "GET /status/metrics");
@@ -87,7 +87,7 @@
         }
     }
 
-    private static void ask(InetSocketAddress at, Config config) throws IOException {
+    private static void ask(InetSocketAddress at, Config config, boolean longToo) throws IOException {
         List<RequestClass> classes = config.settings().classes();
         String tenant = config.settings().tenants().isEmpty() ? "none" : config.settings().tenants().get(0).name();
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
@@ -99,7 +99,7 @@
             for (int i = 0; i < REQUESTS; i++) {
                 RequestClass type = classes.get(i % classes.size());
                 boolean safe = type.repeat() == Repeat.SAFE;
-                boolean isLong = !safe && i % LONG == LONG - 1;
+                boolean isLong = longToo && !safe && i % LONG == LONG - 1;
                 String request = (i == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
                         + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + i + "\r\nX-Qos: " + type.name()
                         + "\r\nX-Customer: " + tenant + "\r\nX-Object: " + i % HOSTS + "\r\n" + HostPool.EXPIRES + ": "
