Hand what a gateway has learned to its next process through a file in TMPDIR

Cause: a successor knew nothing: it refused by the 95th percentile of few answers, sent remembered keys to hosts where they were cold, and learned anew which hosts fail.

Balance tells what it knows (memory) and takes it over (recall), each moment as an age.

Keeper writes them every 3 s and at a stop on a thread of its own, beside, synced and renamed; of two processes the one that started later writes. Missing, over 10 s old, torn, another gateway's, configuration's or version's: one line of the log, a start as before.

Tests: every cut and every flipped bit of a file is refused; a successor chooses the host that its forerunner would have for 800 keys, and refuses under the pressure that held; a killed writer leaves the older file whole.

--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -103,7 +103,13 @@
     /** All start settings of one instance; {@code resolution} is the least time between two moments. */
     record Settings(List<RequestClass> classes, List<Tenant> tenants, Limits limits, Links links, Cpu cpu,
             Rules rules, Value value, Site site, Habits habits, boolean registryOnRequest, Weights weights,
-            String service, long resolution, long seed) { }
+            String service, long resolution, long seed) {
+        /** The same for another seed. */
+        public Settings withSeed(long other) {
+            return new Settings(classes, tenants, limits, links, cpu, rules, value, site, habits, registryOnRequest, weights,
+                    service, resolution, other);
+        }
+    }
 
     /** One entry of the server list; {@code born} is the start of its process, 0 for long ago. */
     record Host(String address, String zone, int cell, String kind, double weight, Health health,
@@ -191,4 +197,15 @@
 
     /** How many hosts of the list get nothing new at present; changes nothing. */
     int excluded(long now);
+
+    /** What this instance has learned, for a later run of the same gateway; changes nothing. Null for a module that hands
+        nothing on. */
+    default Memory memory(long now) {
+        return null;
+    }
+
+    /** Takes over what an earlier run of this gateway had learned, told {@code age} microseconds ago: after
+        {@link #start} and the first list, before any request. What it holds of hosts that are listed later counts once they
+        are. */
+    default void recall(long now, long age, Memory memory) { }
 }
--- a/src/main/java/mastdrift/net/Config.java
+++ b/src/main/java/mastdrift/net/Config.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
@@ -15,15 +16,17 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.stream.Collectors;
+import java.util.zip.CRC32C;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Settings;
 import mastdrift.wire.Facts;
 
 /** What a gateway is told at its start; throws IllegalArgumentException with one plain line where it can't be read.
     Where operators call is null where they don't, and {@code passedSocket} tells that the platform holds the clients'
-    listening socket and has passed it on as descriptor 0. */
-record Config(InetSocketAddress listen, boolean passedSocket, InetSocketAddress admin, InetSocketAddress discovery,
-        int sockets, HostList known, Settings settings) {
+    listening socket and has passed it on as descriptor 0. The folder, null where there is none, is the next process's of
+    this gateway as well, if the platform leaves it. */
+record Config(String name, InetSocketAddress listen, boolean passedSocket, InetSocketAddress admin,
+        InetSocketAddress discovery, Path folder, int sockets, HostList known, Settings settings) {
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
     static Config read(Map<String, String> environment) {
@@ -37,10 +40,11 @@
             throw new IllegalArgumentException("settings: expected " + e.getMessage(), e);
         }
         String admin = environment.getOrDefault("NODE_ADMIN", text(root, "admin"));
-        return new Config(address(environment.getOrDefault("NODE_LISTEN", text(root, "listen"))),
+        String folder = environment.getOrDefault("TMPDIR", "");
+        return new Config(environment.getOrDefault("NODE_NAME", text(root, "name")), address(environment.getOrDefault("NODE_LISTEN", text(root, "listen"))),
                 !environment.getOrDefault("NODE_PASSED_SOCKET", "").isEmpty(), admin.isEmpty() ? null : address(admin),
                 address(environment.getOrDefault("NODE_DISCOVERY", text(root, "discovery"))),
-                root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
+                folder.isEmpty() ? null : Path.of(folder), root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
                         ? sockets : Integer.MAX_VALUE,
                 HostList.parse(root.get("known")), settings);
     }
@@ -52,6 +56,13 @@
         return tally;
     }
 
+    /** A sum over all settings but the seed, which each start has its own of. */
+    long settingsSum() {
+        CRC32C sum = new CRC32C();
+        sum.update(settings.withSeed(0).toString().getBytes(StandardCharsets.UTF_8));
+        return sum.getValue();
+    }
+
     /** Where the file says by now that discovery is. */
     static InetSocketAddress discovery(Map<String, String> environment) {
         return address(text(file(environment), "discovery"));
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -23,6 +23,7 @@
     // Of the descriptors: for the program's own files (some 20), discovery, and connections that come and go.
     private static final int RESERVED = 48;
     private static final int STOP_SECONDS = 4;
+    private static final int STOP_WRITING_MILLIS = 100;
     private static final String REHEARSE = "rehearse";
 
     // Kept, since a logger that nobody holds forgets its level.
@@ -55,9 +56,10 @@
             if (admin != null) {
                 System.out.println("operators may call " + admin);
             }
-            ClientSide clients = start(config, passed, loop, life, tally, System.out);
+            Keeper keeper = keeper(config, System.out);
+            ClientSide clients = start(config, passed, keeper, loop, life, tally, System.out);
             started.complete(clients.gateway());
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients, keeper)));
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
             System.err.println("can't start: " + cause.getMessage());
@@ -108,9 +110,15 @@
         throw new IllegalArgumentException("descriptor 0 is no listening socket, though NODE_PASSED_SOCKET is set");
     }
 
-    /** Starts a gateway on the loop, on the passed socket where there is one; throws IllegalArgumentException for a
+    /** Null where there is no folder to keep anything in. */
+    static Keeper keeper(Config config, PrintStream out) {
+        return config.folder() == null ? null : new Keeper(config.folder(), config.name(), config.settingsSum(),
+                System.currentTimeMillis(), out::println);
+    }
+
+    /** Starts a gateway on the loop, on the passed socket and with a keeper where there is one; throws IllegalArgumentException for a
         configuration it can't run with. */
-    static ClientSide start(Config config, ServerSocketChannel passed, EventLoop loop, Life life, Tally tally,
+    static ClientSide start(Config config, ServerSocketChannel passed, Keeper keeper, EventLoop loop, Life life, Tally tally,
             PrintStream out) {
         int most = connectionsMost(config.sockets());
         ClientSide clients = CompletableFuture.supplyAsync(() -> {
@@ -118,6 +126,9 @@
             if (config.admin() != null) {
                 gateway.keepFigures();
             }
+            if (keeper != null) {
+                gateway.keepMemory(keeper);
+            }
             return new ClientSide(loop, gateway, config.settings(), most, life);
         }, loop).join();
         ChannelFuture listening = (passed == null ? clients.listen(config.listen()) : clients.accept(passed))
@@ -132,11 +143,17 @@
     }
 
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
-    private static void stop(EventLoop loop, ClientSide clients) {
+    private static void stop(EventLoop loop, ClientSide clients, Keeper keeper) {
         CountDownLatch answered = new CountDownLatch(1);
-        loop.execute(() -> clients.stop(answered::countDown));
+        loop.execute(() -> {
+            clients.gateway().leaveMemory();
+            clients.stop(answered::countDown);
+        });
         try {
             boolean all = answered.await(STOP_SECONDS, TimeUnit.SECONDS);
+            if (keeper != null) {
+                keeper.close(STOP_WRITING_MILLIS);
+            }
             System.out.println(all ? "stopped" : "stopped with requests unanswered");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
