--- a/lab/src/main/java/mastdrift/lab/Machine.java
+++ b/lab/src/main/java/mastdrift/lab/Machine.java
@@ -19,7 +19,13 @@
     /** What it is made of, drawn once a day. Spans in microseconds. */
     record Build(String address, String zone, int cell, String kind, int cores, double speed, int slots, int room,
             double coldFrom, long coldSpan, double errorPart, int connectionsMost, double chokeAt, long chokeOver,
-            double chokeSlower, double chokeBelow, long chokeRest, double keyGain, int keysMost) { }
+            double chokeSlower, double chokeBelow, long chokeRest, double keyGain, int keysMost) {
+        /** Another of the same make. */
+        Build at(String other) {
+            return new Build(other, zone, cell, kind, cores, speed, slots, room, coldFrom, coldSpan, errorPart,
+                    connectionsMost, chokeAt, chokeOver, chokeSlower, chokeBelow, chokeRest, keyGain, keysMost);
+        }
+    }
 
     /** A request in work, waiting or hung. */
     static final class Job {
--- a/lab/src/main/java/mastdrift/lab/Plan.java
+++ b/lab/src/main/java/mastdrift/lab/Plan.java
@@ -65,7 +65,7 @@
             double handshake) { }
 
     /** What goes wrong. */
-    enum What { HANG, NEIGHBOUR, GROW, RELEASE, ZONE, SPLIT, ROLL, HERD, LATE_LISTS, NO_LISTS, LOSS, RESETS }
+    enum What { HANG, NEIGHBOUR, GROW, RELEASE, JOIN, ZONE, SPLIT, ROLL, HERD, LATE_LISTS, NO_LISTS, LOSS, RESETS }
 
     /** When it begins, how long it lasts, the part of hosts or gateways it takes, and how hard. */
     record Trouble(What what, Range atS, Range forS, Range part, Range size) { }
--- a/lab/src/main/java/mastdrift/lab/World.java
+++ b/lab/src/main/java/mastdrift/lab/World.java
@@ -236,23 +236,28 @@
         for (int i = 0; i < plan.fleet().hosts(); i++) {
             Plan.Kind kind = plan.kinds().get(pick(share, (i + 0.5) / plan.fleet().hosts()));
             int zone = i % zones.size();
-            Machine machine = new Machine(new Machine.Build("10." + (i >> 16) + "." + (i >> 8 & 255) + "." + (i & 255) + ":8000",
+            machine(new Machine.Build("10." + (i >> 16) + "." + (i >> 8 & 255) + "." + (i & 255) + ":8000",
                     zones.get(zone), zone * 100_000 + i / zones.size() / plan.fleet().hostsPerCell(), kind.name(),
                     kind.cores(), day.in(kind.speed()), (int) Math.max(1, Math.round(kind.cores() * day.in(kind.slotsPerCore()))),
                     (int) Math.round(kind.cores() * day.in(kind.queuePerCore())), day.in(kind.coldFrom()),
                     (long) (1e6 * day.in(kind.coldS())), day.in(kind.errorPart()), (int) (kind.cores() * connections), chokeAt,
                     (long) (1e6 * chokeOver), chokeSlower, chokeBelow, (long) (1e6 * chokeRest), keyGain,
-                    (int) (kind.cores() * keysPerCore)), agenda, new Dice(seed, "host " + i));
-            machine.fallsAt(plan.rules().fallMultiple(), (long) (1000 * plan.rules().fallMs()));
-            machine.fell = knew -> {
-                referee.fell(agenda.now(), machine, knew);
-                registry.changed(machine, Balancer.Health.GONE, true);
-            };
-            machines.add(machine);
-            byAddress.put(machine.build.address(), machine);
+                    (int) (kind.cores() * keysPerCore)), new Dice(seed, "host " + i));
         }
     }
 
+    private Machine machine(Machine.Build build, Dice dice) {
+        Machine machine = new Machine(build, agenda, dice);
+        machine.fallsAt(plan.rules().fallMultiple(), (long) (1000 * plan.rules().fallMs()));
+        machine.fell = knew -> {
+            referee.fell(agenda.now(), machine, knew);
+            registry.changed(machine, Balancer.Health.GONE, true);
+        };
+        machines.add(machine);
+        byAddress.put(build.address(), machine);
+        return machine;
+    }
+
     // ---- what the parts share
 
     Plan plan() {
@@ -669,6 +674,13 @@
                     agenda.at(at + span * i / Math.max(1, hosts.size()), () -> replace(host));
                 }
             }
+            case JOIN -> {
+                for (int i = 0; i < hosts.size(); i++) {
+                    Machine host = hosts.get(i);
+                    String address = "10.200." + (i >> 8) + "." + (i & 255) + ":8000";
+                    agenda.at(at + span * i / Math.max(1, hosts.size()), () -> succeed(host, address));
+                }
+            }
             case ZONE -> {
                 List<Machine> lost = machines.stream().filter(host -> host.build.zone().equals(zone)).toList();
                 during(at, span, () -> lost.forEach(host -> {
@@ -717,6 +729,22 @@
         });
     }
 
+    /** A new machine of the same make comes, cold, and the old one drains and is gone for good. */
+    private void succeed(Machine host, String address) {
+        if (!host.up || byAddress.containsKey(address)) {
+            return;
+        }
+        Machine next = machine(host.build.at(address), new Dice(seed, "host " + address));
+        next.start();
+        registry.changed(next, Balancer.Health.UP, false);
+        change(host, () -> host.leaving = true);
+        registry.changed(host, Balancer.Health.LEAVING, false);
+        agenda.in(DRAIN_FOR, () -> {
+            host.end();
+            registry.changed(host, Balancer.Health.GONE, false);
+        });
+    }
+
     private void restart(Machine host) {
         host.start();
         registry.changed(host, Balancer.Health.UP, false);
