--- a/lab/src/main/java/mastdrift/lab/Machine.java
+++ b/lab/src/main/java/mastdrift/lab/Machine.java
@@ -34,6 +34,7 @@
         private final Consumer<Outcome> answer;
         private double finish;
         private boolean dropped;
+        private boolean stopped;
 
         Job(long key, double work, Consumer<Outcome> answer) {
             this.key = key;
@@ -41,9 +42,10 @@
             this.answer = answer;
         }
 
-        /** Nobody waits for it; hosts that can stop work on it. */
-        void drop() {
+        /** Nobody waits for it any more; it is never begun where hosts {@code stop} what was cancelled. */
+        void drop(boolean stop) {
             dropped = true;
+            stopped = stop;
         }
     }
 
@@ -195,7 +197,7 @@
     private void begin() {
         while (working.size() < build.slots && !waiting.isEmpty()) {
             Job next = waiting.poll();
-            if (!next.dropped) {
+            if (!next.stopped) {
                 work(next);
             }
         }
--- a/lab/src/main/java/mastdrift/lab/World.java
+++ b/lab/src/main/java/mastdrift/lab/World.java
@@ -578,8 +578,8 @@
                 agenda.in(travel(by, to), () -> ended(attempt, outcome));
             }
         });
-        if (!attempt.out && plan.hosts().cancels()) {
-            attempt.job.drop();
+        if (!attempt.out) {
+            attempt.job.drop(plan.hosts().cancels());
         }
         to.arrive(attempt.job, informed);
     }
@@ -600,8 +600,8 @@
                 attempt.link.close();
             }
         }
-        if (!answer && attempt.job != null && plan.hosts().cancels()) {
-            attempt.job.drop();
+        if (!answer && attempt.job != null) {
+            attempt.job.drop(plan.hosts().cancels());
         }
         boolean serves = outcome == Outcome.DELIVERED && !of.over && !of.life.over();
         if (serves) {
--- a/lab/src/test/java/mastdrift/lab/MachineTest.java
+++ b/lab/src/test/java/mastdrift/lab/MachineTest.java
@@ -123,6 +123,20 @@
         assertEquals(List.of("a DELIVERED 55000"), ended);
     }
 
+    /** What nobody waits for is done all the same, and is lost work, unless hosts stop what was cancelled. */
+    @Test
+    void workThatNobodyWaitsForIsLost() {
+        send("a", 1, 10_000).drop(false);
+        for (int i = 2; i < 5; i++) {
+            send("r" + i, i, 10_000);
+        }
+        send("never begun", 9, 10_000).drop(true);
+        agenda.runUntil(100_000);
+        assertEquals(10_000, machine.lost(), 1e-9);
+        assertEquals(30_000, machine.done(), 1e-9);
+        assertEquals(4, machine.served());
+    }
+
     @Test
     void anEndTakesAllThatItHeld() {
         send("a", 1, 10_000);
