--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -103,13 +103,7 @@
     /** All start settings of one instance; {@code resolution} is the least time between two moments. */
     record Settings(List<RequestClass> classes, List<Tenant> tenants, Limits limits, Links links, Cpu cpu,
             Rules rules, Value value, Site site, Habits habits, boolean registryOnRequest, Weights weights,
-            String service, long resolution, long seed) {
-        /** The same for another seed. */
-        public Settings withSeed(long other) {
-            return new Settings(classes, tenants, limits, links, cpu, rules, value, site, habits, registryOnRequest, weights,
-                    service, resolution, other);
-        }
-    }
+            String service, long resolution, long seed) { }
 
     /** One entry of the server list; {@code born} is the start of its process, 0 for long ago. */
     record Host(String address, String zone, int cell, String kind, double weight, Health health,
--- a/src/main/java/mastdrift/net/Config.java
+++ b/src/main/java/mastdrift/net/Config.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
 import mastdrift.Balancer.RequestClass;
@@ -24,9 +25,9 @@
 /** What a gateway is told at its start; throws IllegalArgumentException with one plain line where it can't be read.
     Where operators call is null where they don't, and {@code passedSocket} tells that the platform holds the clients'
     listening socket and has passed it on as descriptor 0. The folder, null where there is none, is the next process's of
-    this gateway as well, if the platform leaves it. */
+    this gateway as well, if the platform leaves it; the sum tells settings apart, whatever the seed of a start. */
 record Config(String name, InetSocketAddress listen, boolean passedSocket, InetSocketAddress admin,
-        InetSocketAddress discovery, Path folder, int sockets, HostList known, Settings settings) {
+        InetSocketAddress discovery, Path folder, int sockets, HostList known, Settings settings, long settingsSum) {
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
     static Config read(Map<String, String> environment) {
@@ -46,7 +47,7 @@
                 address(environment.getOrDefault("NODE_DISCOVERY", text(root, "discovery"))),
                 folder.isEmpty() ? null : Path.of(folder), root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
                         ? sockets : Integer.MAX_VALUE,
-                HostList.parse(root.get("known")), settings);
+                HostList.parse(root.get("known")), settings, sum(facts));
     }
 
     /** Counts for a gateway so configured: begun before the gateway, since operators may ask for them before. */
@@ -56,10 +57,11 @@
         return tally;
     }
 
-    /** A sum over all settings but the seed, which each start has its own of. */
-    long settingsSum() {
+    /** Over the text: a record's own text would be put together by code that each start has to make first. */
+    private static long sum(Map<String, String> facts) {
         CRC32C sum = new CRC32C();
-        sum.update(settings.withSeed(0).toString().getBytes(StandardCharsets.UTF_8));
+        new TreeMap<>(facts).forEach((path, value) ->
+                sum.update((path + '=' + value + '\n').getBytes(StandardCharsets.UTF_8)));
         return sum.getValue();
     }
 
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -68,7 +68,7 @@
             List<HostList.Entry> hosts = IntStream.range(0, HOSTS).mapToObj(i -> new HostList.Entry(
                     new Host("rehearsal-" + i, config.settings().site().zone(), 0, "", 1, Health.UP, 0), at)).toList();
             Config rehearsed = new Config(config.name(), any, false, null, at, null, config.sockets(),
-                    new HostList(0, true, hosts), config.settings());
+                    new HostList(0, true, hosts), config.settings(), config.settingsSum());
             PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
             Life life = new Life();
             ClientSide clients = CompletableFuture.supplyAsync(() -> new ClientSide(loop, new Gateway(rehearsed, loop,
--- a/src/test/java/mastdrift/net/KeeperTest.java
+++ b/src/test/java/mastdrift/net/KeeperTest.java
@@ -178,6 +178,20 @@
         assertEquals(List.of(), log.stream().filter(line -> !line.startsWith("memory of")).toList());
     }
 
+    /** Guards against a memory that no start finds its own, since each has a seed of its own, or that any start takes. */
+    @Test
+    void settingsAreToldApartAndSeedsAreNot() throws Exception {
+        try (Loopback.Server discovery = Loopback.discovery()) {
+            Map<String, String> environment = Loopback.environment(folder, discovery, Loopback.list(1, true), Loopback.SETTINGS);
+            long sum = Config.read(environment).settingsSum();
+            Path file = Path.of(environment.get("NODE_CONFIG"));
+            Files.writeString(file, Files.readString(file).replace("8c1f30d27a5be964", "8c1f30d27a5be965"));
+            assertEquals(sum, Config.read(environment).settingsSum());
+            Files.writeString(file, Files.readString(file).replace("\"max_attempts\":4", "\"max_attempts\":3"));
+            assertTrue(sum != Config.read(environment).settingsSum());
+        }
+    }
+
     @Test
     void aFolderThatIsNoneIsOneLine() {
         Keeper keeper = new Keeper(folder.resolve("none"), "n3", 4711, 1, log::add);
