--- /dev/null
+++ b/src/test/java/mastdrift/net/LifeModelTest.java
@@ -0,0 +1,66 @@
+package mastdrift.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** Every order of what can come to a life cycle, up to eight of them, against what the page for staff says. */
+class LifeModelTest {
+
+    private static final int DEPTH = 8;
+
+    private enum Event { STARTED, STANDBY, ACTIVE, STOP }
+
+    /** The page, as a rule: a stop is for good, a standby of any time holds until the next call, a start comes once. */
+    private static Life.State expected(List<Event> path) {
+        if (path.contains(Event.STOP)) {
+            return Life.State.STOPPING;
+        }
+        if (!path.contains(Event.STARTED)) {
+            return Life.State.STARTING;
+        }
+        int standby = path.lastIndexOf(Event.STANDBY);
+        return standby > path.lastIndexOf(Event.ACTIVE) ? Life.State.STANDBY : Life.State.ACTIVE;
+    }
+
+    private static int explore(List<Event> path) {
+        Life life = new Life();
+        AtomicInteger told = new AtomicInteger();
+        int calls = 0;
+        boolean started = false;
+        boolean stopped = false;
+        for (Event event : path) {
+            switch (event) {
+                case STARTED -> life.started(told::incrementAndGet);
+                case STOP -> life.stop();
+                default -> {
+                    boolean wanted = event == Event.STANDBY;
+                    assertEquals(!stopped || wanted, life.standby(wanted), path.toString());
+                }
+            }
+            started |= event == Event.STARTED;
+            stopped |= event == Event.STOP;
+            calls += event == Event.STARTED || started && !stopped && event != Event.STOP ? 1 : 0;
+        }
+        assertEquals(expected(path), life.state(), path.toString());
+        assertEquals(expected(path) == Life.State.ACTIVE, life.ready(), path.toString());
+        assertEquals(calls, told.get(), "told of changes: " + path);
+        int count = 1;
+        for (Event next : Event.values()) {
+            if (path.size() < DEPTH && !(next == Event.STARTED && path.contains(Event.STARTED))) {
+                List<Event> longer = new ArrayList<>(path);
+                longer.add(next);
+                count += explore(longer);
+            }
+        }
+        return count;
+    }
+
+    @Test
+    void everyOrderOfCallsGivesTheStateThatThePageTells() {
+        assertEquals(true, explore(List.of()) > 30_000);
+    }
+}
