--- a/lab/src/test/java/mastdrift/lab/WorldTest.java
+++ b/lab/src/test/java/mastdrift/lab/WorldTest.java
@@ -71,6 +71,17 @@
         assertTrue(result.served() > result.offered() / 3, "served " + result.served());
     }
 
+    /** Guards against rules that hold one trouble at a time: all of them at once, with every kind of repeat. */
+    @Test
+    void daysWithEverythingAtOnceKeepTheRules() throws Exception {
+        List<Result> results = Experiment.play(DayFile.read(Path.of("days/wild.toml")), List.of(1L, 2L, 3L, 4L), List.of(SELF), 4,
+                done -> { });
+        for (Result result : results) {
+            assertEquals(List.of(), result.breaches());
+            assertTrue(result.served() > 1000, "served " + result.served());
+        }
+    }
+
     /** Guards against a trouble that does nothing: each costs something that a calm day does not. */
     @ParameterizedTest
     @EnumSource(value = Plan.What.class, names = {"HANG", "GROW", "ZONE", "SPLIT", "HERD", "ROLL", "LOSS", "RESETS"})
