--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -122,7 +122,6 @@
     private double fleetFailing;
     private boolean loadsListed;
     private long listedAt;
-    private long turnedAt;  // when the last list came that was not a further piece of one
     private double unhindered;  // microseconds that a request takes on a host that holds no other
     private Map<String, Double> zoneLoads = Map.of();  // requests held a core, as the list tells
     private final Map<Long, Held> held = new LinkedHashMap<>();
@@ -760,17 +759,11 @@
 
     /** A queue that nobody adds to drains as time goes by. Where the list tells loads, what a host holds
         beyond one a core waits, each for as long as one takes unhindered: the crowd of all gateways, of which
-        each sees few answers and late. What it held at the list before as well stays; the rest was of a
-        moment and drains, or all gateways would refuse until the next list for what is long gone. */
+        each sees few answers and late. */
     private double waiting(long now, Server server) {
-        double own = server.wait - (now - server.waitAt);
-        if (!loadsTold(now) || server.host.weight() <= 0) {
-            return Math.max(0, own);
-        }
-        double most = server.kind.weightMost;
-        double passing = (most / server.host.weight() - 2) * unhindered - (now - listedAt);
-        double stays = (most / Math.max(server.host.weight(), server.weightBefore) - 2) * unhindered;
-        return Math.max(Math.max(0, own), Math.max(stays, passing));
+        double told = loadsTold(now) && server.host.weight() > 0
+                ? (server.kind.weightMost / server.host.weight() - 2) * unhindered : 0;
+        return Math.max(Math.max(0, told), server.wait - (now - server.waitAt));
     }
 
     /** What is beyond a share first, up to FIRST that alone. Of the rest a part as large as the pressure: new
@@ -1021,10 +1014,6 @@
             return;
         }
         askFailures = 0;
-        if (form != ListForm.CACHED && now - turnedAt >= REFRESH / 2) {  // a list may come in pieces
-            turnedAt = now;
-            servers.values().forEach(s -> s.weightBefore = s.host.weight());
-        }
         Map<String, Server> before = new LinkedHashMap<>(servers);
         if (form != ListForm.DELTA) {
             servers.clear();
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -81,7 +81,6 @@
         double serving = 1;
         double share;
         boolean inSet;
-        double weightBefore;  // in the list before; 0 for a host that was not in it
         double queue;
         long queueAt;
         double probeTrip;
