Say once in the lab and the command what was written three times, and drop what nobody asks

status, standby and active were one body three times: OneCall holds it, each names its call. The test's altered module is the direct one with other actions, not a second copy of it.

--- a/cli/src/main/java/mastdrift/cli/Springspar.java
+++ b/cli/src/main/java/mastdrift/cli/Springspar.java
@@ -116,16 +116,26 @@
         }
     }
 
-    @Command(name = "status", mixinStandardHelpOptions = true, description = "Tells whether the gateway is ready to serve.")
-    static final class Status implements Callable<Integer> {
+    /** Asks once, and tells the answer. */
+    abstract static class OneCall implements Callable<Integer> {
 
         @Mixin
         private Calling calling;
 
+        abstract Calls.Answer ask(Calls calls) throws Calls.NoAnswer;
+
         @Override
         public Integer call() throws Exception {
             Calls calls = calling.calls();
-            return calling.tell(calls, calls.get("/status"));
+            return calling.tell(calls, ask(calls));
+        }
+    }
+
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Tells whether the gateway is ready to serve.")
+    static final class Status extends OneCall {
+        @Override
+        Calls.Answer ask(Calls calls) throws Calls.NoAnswer {
+            return calls.get("/status");
         }
     }
 
@@ -155,28 +165,18 @@
     }
 
     @Command(name = "standby", mixinStandardHelpOptions = true, description = "Drains the gateway; nothing restarts.")
-    static final class Standby implements Callable<Integer> {
-
-        @Mixin
-        private Calling calling;
-
+    static final class Standby extends OneCall {
         @Override
-        public Integer call() throws Exception {
-            Calls calls = calling.calls();
-            return calling.tell(calls, calls.post("/standby"));
+        Calls.Answer ask(Calls calls) throws Calls.NoAnswer {
+            return calls.post("/standby");
         }
     }
 
     @Command(name = "active", mixinStandardHelpOptions = true, description = "Takes the gateway back to work.")
-    static final class Active implements Callable<Integer> {
-
-        @Mixin
-        private Calling calling;
-
+    static final class Active extends OneCall {
         @Override
-        public Integer call() throws Exception {
-            Calls calls = calling.calls();
-            return calling.tell(calls, calls.post("/active"));
+        Calls.Answer ask(Calls calls) throws Calls.NoAnswer {
+            return calls.post("/active");
         }
     }
 
--- a/lab/src/main/java/mastdrift/lab/Brains.java
+++ b/lab/src/main/java/mastdrift/lab/Brains.java
@@ -27,7 +27,7 @@
     }
 
     /** The module of this build, in this process. */
-    final class Direct implements Brains {
+    class Direct implements Brains {
 
         private final List<Runnable> asked = new ArrayList<>();
 
--- a/lab/src/main/java/mastdrift/lab/Dice.java
+++ b/lab/src/main/java/mastdrift/lab/Dice.java
@@ -31,10 +31,6 @@
         return source.nextDouble();
     }
 
-    long whole() {
-        return source.nextLong();
-    }
-
     int below(int bound) {
         return source.nextInt(bound);
     }
--- a/lab/src/main/java/mastdrift/lab/Experiment.java
+++ b/lab/src/main/java/mastdrift/lab/Experiment.java
@@ -56,10 +56,10 @@
     private Experiment() { }
 
     /** One day, with a line for the log of each thing that a module or a trouble says. */
-    static Result play(Plan plan, long seed, Build build, Consumer<String> log, IntConsumer progress) {
+    static Result play(Plan plan, long seed, Build build, Consumer<String> log) {
         try (Brains brains = build.source().open()) {
             World world = new World(plan, seed, brains, log);
-            world.play(progress::accept);
+            world.play();
             return Result.of(build.name(), plan, seed, world);
         }
     }
@@ -74,7 +74,7 @@
             for (long seed : seeds) {
                 for (Build build : builds) {
                     all.add(pool.submit(() -> {
-                        Result result = play(plan, seed, build, line -> { }, second -> { });
+                        Result result = play(plan, seed, build, line -> { });
                         done.accept(over.incrementAndGet());
                         return result;
                     }));
--- a/lab/src/main/java/mastdrift/lab/Lab.java
+++ b/lab/src/main/java/mastdrift/lab/Lab.java
@@ -236,11 +236,7 @@
                 if (parts.length != 2 || !parts[0].matches("[1-9]\\d{0,4}") || !parts[1].matches("[1-9]\\d{0,4}")) {
                     throw new CommandLine.ParameterException(playing.spec.commandLine(), "a size like 10x20, not " + size);
                 }
-                Plan.Fleet fleet = plan.fleet();
-                Plan sized = new Plan(plan.name() + "-" + size, plan.seconds(), plan.tickMs(),
-                        new Plan.Fleet(Integer.parseInt(parts[0]), Integer.parseInt(parts[1]), fleet.zones(), fleet.startS(),
-                        fleet.hostsPerCell()), plan.hosts(), plan.kinds(), plan.traffic(), plan.classes(), plan.clients(),
-                        plan.front(), plan.net(), plan.lists(), plan.rules(), plan.goal(), plan.troubles());
+                Plan sized = plan.sized(Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
                 long begun = System.nanoTime();
                 List<Result> results = playing.play(sized, seeds, List.of(build("self")));
                 double seconds = (System.nanoTime() - begun) / 1e9;
@@ -287,7 +283,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Result result = Experiment.play(playing.plan(), seed, build(build), playing.print()::println, second -> { });
+            Result result = Experiment.play(playing.plan(), seed, build(build), playing.print()::println);
             playing.print().println("  s offered served late refused failed   p95 ms  held mean most  choked  up");
             for (Meter.Window w : result.windows()) {
                 playing.print().printf(Locale.ROOT, "%3d %7d %6d %4d %7d %6d %8.1f %10.2f %5.1f %6d %4d+%d%n", w.second(),
--- a/lab/src/main/java/mastdrift/lab/Node.java
+++ b/lab/src/main/java/mastdrift/lab/Node.java
@@ -38,7 +38,7 @@
             }
             if (!of.over && of.attempts.size() < world.plan().rules().maxAttempts()) {
                 world.referee().sends(agenda.now(), of, to, Node.this);
-                world.send(Node.this, this, of, to, timeout);
+                world.send(Node.this, of, to, timeout);
             } else {
                 world.unsent(this, of, to);
             }
--- a/lab/src/main/java/mastdrift/lab/Plan.java
+++ b/lab/src/main/java/mastdrift/lab/Plan.java
@@ -17,6 +17,13 @@
         List<ClassPlan> classes, Clients clients, Front front, Net net, Lists lists, Rules rules, Goal goal,
         List<Trouble> troubles) {
 
+    /** The same day for a fleet of another size, which its name tells. */
+    Plan sized(int gateways, int hostCount) {
+        return new Plan(name + "-" + gateways + "x" + hostCount, seconds, tickMs,
+                new Fleet(gateways, hostCount, fleet.zones, fleet.startS, fleet.hostsPerCell), hosts, kinds, traffic, classes,
+                clients, front, net, lists, rules, goal, troubles);
+    }
+
     /** From the mildest to the worst, which may be the smaller one. */
     record Range(double from, double to) {
         static Range of(double value) {
--- a/lab/src/main/java/mastdrift/lab/Referee.java
+++ b/lab/src/main/java/mastdrift/lab/Referee.java
@@ -3,7 +3,6 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import mastdrift.Balancer.Group;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Repeat;
@@ -26,7 +25,6 @@
     private final long seed;
     private final Plan.Rules rules;
     private final Map<Rule, Breach> first = new EnumMap<>(Rule.class);
-    private final Map<Rule, Integer> counts = new TreeMap<>();
 
     Referee(long seed, Plan.Rules rules) {
         this.seed = seed;
@@ -35,17 +33,12 @@
 
     private void breach(Rule rule, long now, long request, String what) {
         first.putIfAbsent(rule, new Breach(rule, seed, now, request, what));
-        counts.merge(rule, 1, Integer::sum);
     }
 
     List<Breach> breaches() {
         return List.copyOf(first.values());
     }
 
-    int count(Rule rule) {
-        return counts.getOrDefault(rule, 0);
-    }
-
     /** A request is to be sent on. */
     void sends(long now, World.Try of, Machine to, Node by) {
         if (of.over) {
--- a/lab/src/main/java/mastdrift/lab/World.java
+++ b/lab/src/main/java/mastdrift/lab/World.java
@@ -326,8 +326,8 @@
 
     // ---- the day
 
-    /** Plays it to the end; once. {@code progress} hears of each second. */
-    void play(Consumer<Integer> progress) {
+    /** Plays it to the end; once. */
+    void play() {
         tick = tickMicros;
         agenda.runUntil(tick);
         registry.begin(machines);
@@ -340,10 +340,8 @@
         plan.troubles().forEach(this::plan);
         for (int second = 0; second < plan.seconds(); second++) {
             int at = second;
-            agenda.at((second + 1) * 1_000_000L - 1, () -> {
-                meter.look(at, machines, (int) nodes.stream().filter(Node::running).count());
-                progress.accept(at);
-            });
+            agenda.at((second + 1) * 1_000_000L - 1,
+                    () -> meter.look(at, machines, (int) nodes.stream().filter(Node::running).count()));
         }
         long last = plan.seconds() * 1_000_000L
                 + plan.classes().stream().mapToLong(type -> micros(type.deadlineMs())).max().orElse(0) + 1_000_000;
@@ -521,7 +519,7 @@
         ended(attempt, Outcome.UNUSED);
     }
 
-    void send(Node by, Node.Life life, Try of, Machine to, long timeout) {
+    void send(Node by, Try of, Machine to, long timeout) {
         long now = agenda.now();
         int second = meter.second(now);
         meter.attempts[second]++;
--- a/lab/src/test/java/mastdrift/lab/WorldTest.java
+++ b/lab/src/test/java/mastdrift/lab/WorldTest.java
@@ -6,13 +6,11 @@
 
 import java.io.StringWriter;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.HashMap;
 import java.util.function.UnaryOperator;
 import java.util.stream.LongStream;
-import mastdrift.Balance;
 import mastdrift.Balancer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,7 +32,7 @@
     }
 
     private static Result play(Plan plan, Experiment.Build build) {
-        return Experiment.play(plan, 3, build, line -> { }, second -> { });
+        return Experiment.play(plan, 3, build, line -> { });
     }
 
     /** Guards against figures that hang on the machine they were made on. */
@@ -94,27 +92,11 @@
 
     /** A module with one thing changed in what it asks for. */
     private static Experiment.Build changed(UnaryOperator<Balancer.Actions> how) {
-        return new Experiment.Build("changed", () -> new Brains() {
-            private final List<Runnable> asked = new ArrayList<>();
-
+        return new Experiment.Build("changed", () -> new Brains.Direct() {
             @Override
             public Balancer start(long now, int gateway, Balancer.Settings settings, Balancer.Actions actions) {
-                Balancer module = new Balance();
-                module.start(now, settings, how.apply(new Deferred(asked, actions)));
-                return module;
-            }
-
-            @Override
-            public void stop(int gateway) { }
-
-            @Override
-            public void turn(long now) {
-                List.copyOf(asked).forEach(Runnable::run);
-                asked.clear();
+                return super.start(now, gateway, settings, how.apply(actions));
             }
-
-            @Override
-            public void close() { }
         });
     }
 
