--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -65,7 +65,6 @@
     private static final double PROBE_SHARE = 0.02;     // probe budget: likewise
     private static final double BUDGET_MOST = 20;       // what an unused budget may save up
     private static final int KEYS_MOST = 50_000;        // remembered keys, a bound on memory
-    private static final int KEYS_CARRIED = 20_000;     // of them, to a successor
     private static final double CREDIT = 0.8;           // part of that for cold hosts: their keys cost more
     private static final double IDLE_MORE = 1.25;       // times its part, a list that tells a cold host idle
     private static final double BUSY_LESS = 0.64;       // likewise where it tells it busy: two steps back
@@ -143,8 +142,6 @@
     private final double[] idleSeen = new double[64];
     private long idleLimit = Long.MAX_VALUE;
     private long idleUntil;
-    private Map<String, Memory.KnownHost> recalled = Map.of();  // of hosts that have not been listed yet
-    private long recalledAt;  // when all of it held
     // Since the last line of the log.
     private int refreshes;
     private int pressed;
@@ -488,13 +485,20 @@
         setThreshold();
         double rise = Math.max(RISE, REFRESH / (double) settings.rules().warmWithin());
         double fade = Math.min(1, HISTORY * servers.size() / Math.max(1, recentSum));
+        recentSum = 0;
+        shareSum = 0;
+        shareMost = 0;
+        queueSum = 0;
         for (Server server : servers.values()) {
             double target = target(now, server);
             server.share = Math.min(target, server.share + rise);
             server.inSet = target > 0;
+            shareSum += server.share;
+            shareMost = Math.max(shareMost, server.share);
+            queueSum += queue(now, server);
             server.recent *= fade;
+            recentSum += server.recent;
         }
-        sum(now);
         long known = servers.values().stream().filter(s -> s.ownCount + s.ownFailures > 0).count();
         manyFull = servers.values().stream().filter(s -> full(now, s)).count() > MANY * known;
         setPressure(now);
@@ -502,16 +506,6 @@
         report(now);
     }
 
-    private void sum(long now) {
-        shareSum = shareMost = queueSum = recentSum = 0;
-        for (Server server : servers.values()) {
-            shareSum += server.share;
-            shareMost = Math.max(shareMost, server.share);
-            queueSum += queue(now, server);
-            recentSum += server.recent;
-        }
-    }
-
     /** Why requests were turned away, for the operator: no more than a line for some refreshes. */
     private void report(long now) {
         if (++refreshes % LOG_EVERY != 0 || pressed + homeless + givenUp == 0) {
@@ -1043,92 +1037,5 @@
             chill(now, server, host.born(), settings.rules().warmWithin());
             server.share *= warmth(now, server);
         }
-        Memory.KnownHost earlier = recalled.get(host.address());
-        if (fresh && earlier != null && earlier.born() == host.born() && now - recalledAt < WINDOW) {
-            recall(now, server, earlier);
-        }
-    }
-
-    // ---- what goes from one run of a gateway to the next
-
-    /** Of an old run all that a decision goes by, but what is in flight and the connections. */
-    @Override
-    public Memory memory(long now) {
-        Map<Server, Integer> places = new HashMap<>();
-        List<Memory.KnownHost> hosts = new ArrayList<>();
-        for (Server server : servers.values()) {
-            places.put(server, hosts.size());
-            hosts.add(server.memory(now));
-        }
-        Map<String, Memory.KnownKind> known = new LinkedHashMap<>();
-        kinds.forEach((name, kind) -> known.put(name,
-                new Memory.KnownKind(kind.rate, kind.cpu, kind.reports, kind.size, kind.weightMost)));
-        Map<String, Double> latencies = new LinkedHashMap<>();
-        classes.forEach((name, cls) -> latencies.put(name, usual[cls]));
-        int kept = Math.min(SERVED, servedCount);
-        long[] ages = new long[kept];
-        double[] lateness = new double[kept];
-        for (int i = 0; i < kept; i++) {
-            ages[i] = now - servedAt[(servedCount - 1 - i) % SERVED];
-            lateness[i] = served[(servedCount - 1 - i) % SERVED];
-        }
-        return new Memory(hosts, known, latencies, State.keys(now, sessions, places, KEYS_CARRIED),
-                new Memory.Served(ages, lateness, fleetPressure, manyFull, fleetFailing, few, newPart,
-                        retryBudget),
-                new Memory.Links(idleLost.clone(), idleSeen.clone(),
-                        idleLimit == Long.MAX_VALUE ? Memory.NEVER : idleLimit,
-                        Math.max(0, idleUntil - now)));
-    }
-
-    /** All of it counts as old as it is; nothing is taken of a host that has started anew since. */
-    @Override
-    public void recall(long now, long age, Memory memory) {
-        recalledAt = now - age;
-        recalled = memory.hosts().stream()
-                .collect(Collectors.toMap(Memory.KnownHost::address, host -> host, (one, same) -> one));
-        memory.usual().forEach((name, latency) -> {
-            if (classes.containsKey(name) && latency > 0) {
-                usual[classes.get(name)] = latency;
-            }
-        });
-        memory.kinds().forEach((name, kind) -> kinds.computeIfAbsent(name, k -> new Pool()).recall(kind));
-        Memory.Served before = memory.served();
-        servedCount = Math.min(SERVED, before.ages().length);
-        for (int i = 0; i < servedCount; i++) {
-            servedAt[servedCount - 1 - i] = recalledAt - before.ages()[i];
-            served[servedCount - 1 - i] = before.lateness()[i];
-        }
-        fleetPressure = before.pressure();
-        manyFull = before.manyFull();
-        fleetFailing = before.failing();
-        few = before.few();
-        newPart = before.newPart();
-        retryBudget = Math.min(BUDGET_MOST, before.retryBudget());
-        System.arraycopy(memory.links().lost(), 0, idleLost, 0, Math.min(64, memory.links().lost().length));
-        System.arraycopy(memory.links().seen(), 0, idleSeen, 0, Math.min(64, memory.links().seen().length));
-        idleLimit = memory.links().limit() == Memory.NEVER ? Long.MAX_VALUE : memory.links().limit();
-        idleUntil = recalledAt + memory.links().ends();
-        for (Server server : servers.values()) {
-            Memory.KnownHost earlier = recalled.get(server.host.address());
-            if (earlier != null && earlier.born() == server.host.born()) {
-                recall(now, server, earlier);
-            }
-        }
-        for (int i = memory.keys().keys().length - 1; i >= 0; i--) {
-            Memory.KnownHost home = memory.hosts().get(memory.keys().hosts()[i]);
-            Server server = servers.get(home.address());
-            if (server != null && server.host.born() == home.born()) {
-                long at = recalledAt - memory.keys().ages()[i];
-                sessions.put(memory.keys().keys()[i], new Session(server, at));
-            }
-        }
-        setThreshold();
-        sum(now);
-    }
-
-    private void recall(long now, Server server, Memory.KnownHost earlier) {
-        server.recall(recalledAt, earlier);
-        measure(now, server);
-        estimate(server);
     }
 }
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -191,15 +191,4 @@
 
     /** How many hosts of the list get nothing new at present; changes nothing. */
     int excluded(long now);
-
-    /** What this instance has learned, for a later run of the same gateway; changes nothing. Null for a module that hands
-        nothing on. */
-    default Memory memory(long now) {
-        return null;
-    }
-
-    /** Takes over what an earlier run of this gateway had learned, told {@code age} microseconds ago: after
-        {@link #start} and the first list, before any request. What it holds of hosts that are listed later counts once they
-        are. */
-    default void recall(long now, long age, Memory memory) { }
 }
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -2,45 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 
 /** What one gateway's module remembers: plain data without a decision, all of which are in Balance.java. */
 final class State {
 
     private State() { }
 
-    private static long age(long now, long at) {
-        return at == 0 ? Memory.NEVER : now - at;
-    }
-
-    private static long at(long then, long age) {
-        return age < 0 ? 0 : Math.max(1, then - age);
-    }
-
-    /** The keys used last, up to so many; the sessions come in the order of their last use. */
-    static Memory.Keys keys(long now, Map<Long, Session> sessions, Map<Server, Integer> places, int most) {
-        int skipped = Math.max(0, sessions.size() - most);
-        int count = 0;
-        long[] keys = new long[Math.min(most, sessions.size())];
-        int[] hosts = new int[keys.length];
-        long[] ages = new long[keys.length];
-        for (Map.Entry<Long, Session> entry : sessions.entrySet()) {
-            Integer place = places.get(entry.getValue().server());
-            if (skipped-- <= 0 && place != null) {
-                keys[count] = entry.getKey();
-                hosts[count] = place;
-                ages[count++] = now - entry.getValue().at();
-            }
-        }
-        Memory.Keys newestFirst = new Memory.Keys(new long[count], new int[count], new long[count]);
-        for (int i = 0; i < count; i++) {
-            newestFirst.keys()[i] = keys[count - 1 - i];
-            newestFirst.hosts()[i] = hosts[count - 1 - i];
-            newestFirst.ages()[i] = ages[count - 1 - i];
-        }
-        return newestFirst;
-    }
-
     /** Sums over servers alike in kind. */
     static final class Pool {
         double latency;
@@ -57,14 +24,6 @@
         void clear() {
             latency = samples = delivered = warm = 0;
         }
-
-        void recall(Memory.KnownKind earlier) {
-            rate = earlier.rate();
-            cpu = earlier.cpu();
-            reports = earlier.reports();
-            size = earlier.size();
-            weightMost = Math.max(weightMost, earlier.weightMost());
-        }
     }
 
     static final class Server {
@@ -108,44 +67,6 @@
             sampleAt = new long[kept];
             sample = new double[kept];
         }
-
-        Memory.KnownHost memory(long now) {
-            int kept = Math.min(samples, sample.length);
-            long[] ages = new long[kept];
-            double[] values = new double[kept];
-            for (int i = 0; i < kept; i++) {
-                ages[i] = now - sampleAt[(samples - 1 - i) % sample.length];
-                values[i] = sample[(samples - 1 - i) % sample.length];
-            }
-            return new Memory.KnownHost(host.address(), host.born(), ages, values,
-                    new Memory.Standing(share, inSet, probeTrip, recent, age(now, answeredAt), down),
-                    new Memory.Queue(queue, age(now, queueAt), wait, age(now, waitAt)),
-                    new Memory.Warming(age(now, coldSince), coldSpan, coldCredit, age(now, creditAt), idle));
-        }
-
-        /** What held at that moment. */
-        void recall(long then, Memory.KnownHost earlier) {
-            samples = Math.min(earlier.samples().length, sample.length);
-            for (int i = 0; i < samples; i++) {
-                sampleAt[samples - 1 - i] = then - earlier.sampleAges()[i];
-                sample[samples - 1 - i] = earlier.samples()[i];
-            }
-            share = earlier.standing().share();
-            inSet = earlier.standing().inSet();
-            probeTrip = earlier.standing().probeTrip();
-            recent = earlier.standing().recent();
-            answeredAt = at(then, earlier.standing().answered());
-            down = earlier.standing().down();
-            queue = earlier.queue().told();
-            queueAt = at(then, earlier.queue().toldAge());
-            wait = earlier.queue().waiting();
-            waitAt = at(then, earlier.queue().waitAge());
-            coldSince = at(then, earlier.warming().since());
-            coldSpan = earlier.warming().span();
-            coldCredit = earlier.warming().credit();
-            creditAt = at(then, earlier.warming().creditAge());
-            idle = earlier.warming().idle();
-        }
     }
 
     static final class Attempt {
--- a/src/main/java/mastdrift/net/Config.java
+++ b/src/main/java/mastdrift/net/Config.java
@@ -7,7 +7,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
@@ -15,19 +14,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.TreeMap;
 import java.util.stream.Collectors;
-import java.util.zip.CRC32C;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Settings;
 import mastdrift.wire.Facts;
 
 /** What a gateway is told at its start; throws IllegalArgumentException with one plain line where it can't be read.
     Where operators call is null where they don't, and {@code passedSocket} tells that the platform holds the clients'
-    listening socket and has passed it on as descriptor 0. The folder, null where there is none, is the next process's of
-    this gateway as well, if the platform leaves it; the sum tells settings apart, whatever the seed of a start. */
-record Config(String name, InetSocketAddress listen, boolean passedSocket, InetSocketAddress admin,
-        InetSocketAddress discovery, Path folder, int sockets, HostList known, Settings settings, long settingsSum) {
+    listening socket and has passed it on as descriptor 0. */
+record Config(InetSocketAddress listen, boolean passedSocket, InetSocketAddress admin, InetSocketAddress discovery,
+        int sockets, HostList known, Settings settings) {
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
     static Config read(Map<String, String> environment) {
@@ -41,13 +37,12 @@
             throw new IllegalArgumentException("settings: expected " + e.getMessage(), e);
         }
         String admin = environment.getOrDefault("NODE_ADMIN", text(root, "admin"));
-        String folder = environment.getOrDefault("TMPDIR", "");
-        return new Config(environment.getOrDefault("NODE_NAME", text(root, "name")), address(environment.getOrDefault("NODE_LISTEN", text(root, "listen"))),
+        return new Config(address(environment.getOrDefault("NODE_LISTEN", text(root, "listen"))),
                 !environment.getOrDefault("NODE_PASSED_SOCKET", "").isEmpty(), admin.isEmpty() ? null : address(admin),
                 address(environment.getOrDefault("NODE_DISCOVERY", text(root, "discovery"))),
-                folder.isEmpty() ? null : Path.of(folder), root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
+                root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
                         ? sockets : Integer.MAX_VALUE,
-                HostList.parse(root.get("known")), settings, sum(facts));
+                HostList.parse(root.get("known")), settings);
     }
 
     /** Counts for a gateway so configured: begun before the gateway, since operators may ask for them before. */
@@ -57,14 +52,6 @@
         return tally;
     }
 
-    /** Over the text: a record's own text would be put together by code that each start has to make first. */
-    private static long sum(Map<String, String> facts) {
-        CRC32C sum = new CRC32C();
-        new TreeMap<>(facts).forEach((path, value) ->
-                sum.update((path + '=' + value + '\n').getBytes(StandardCharsets.UTF_8)));
-        return sum.getValue();
-    }
-
     /** Where the file says by now that discovery is. */
     static InetSocketAddress discovery(Map<String, String> environment) {
         return address(text(file(environment), "discovery"));
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -120,7 +120,6 @@
     private final Settings settings;
     private final Tally tally;
     private final int openMost;
-    private Keeper keeper;  // null where nothing is kept
     private final Map<Long, Exchange> ledger = new HashMap<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean inEvent;
@@ -173,24 +172,6 @@
         }
     }
 
-    /** Takes over what an earlier process left with the keeper, and leaves there from time to time what is known. Before
-        the first request. */
-    void keepMemory(Keeper with) {
-        keeper = with;
-        Snapshot earlier = with.read(now());
-        if (earlier != null) {
-            event(null, now -> module.recall(now, Math.max(0, now - earlier.at()), earlier.memory()));
-        }
-        loop.scheduleWithFixedDelay(this::leaveMemory, Keeper.EVERY, Keeper.EVERY, TimeUnit.MICROSECONDS);
-    }
-
-    /** For the next process of this gateway. */
-    void leaveMemory() {
-        if (keeper != null) {
-            event(null, now -> keeper.write(module.memory(now), now));
-        }
-    }
-
     /** A successor takes over what comes from now on. */
     void retire() {
         hosts.retire();
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -23,7 +23,6 @@
     // Of the descriptors: for the program's own files (some 20), discovery, and connections that come and go.
     private static final int RESERVED = 48;
     private static final int STOP_SECONDS = 4;
-    private static final int STOP_WRITING_MILLIS = 100;
     private static final String REHEARSE = "rehearse";
 
     // Kept, since a logger that nobody holds forgets its level.
@@ -56,10 +55,9 @@
             if (admin != null) {
                 System.out.println("operators may call " + admin);
             }
-            Keeper keeper = null;  // see docs/findings/start.md: what was recalled served less
-            ClientSide clients = start(config, passed, keeper, loop, life, tally, System.out);
+            ClientSide clients = start(config, passed, loop, life, tally, System.out);
             started.complete(clients.gateway());
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients, keeper)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
             System.err.println("can't start: " + cause.getMessage());
@@ -110,15 +108,9 @@
         throw new IllegalArgumentException("descriptor 0 is no listening socket, though NODE_PASSED_SOCKET is set");
     }
 
-    /** Null where there is no folder to keep anything in. */
-    static Keeper keeper(Config config, PrintStream out) {
-        return config.folder() == null ? null : new Keeper(config.folder(), config.name(), config.settingsSum(),
-                System.currentTimeMillis(), out::println);
-    }
-
-    /** Starts a gateway on the loop, on the passed socket and with a keeper where there is one; throws IllegalArgumentException for a
+    /** Starts a gateway on the loop, on the passed socket where there is one; throws IllegalArgumentException for a
         configuration it can't run with. */
-    static ClientSide start(Config config, ServerSocketChannel passed, Keeper keeper, EventLoop loop, Life life, Tally tally,
+    static ClientSide start(Config config, ServerSocketChannel passed, EventLoop loop, Life life, Tally tally,
             PrintStream out) {
         int most = connectionsMost(config.sockets());
         ClientSide clients = CompletableFuture.supplyAsync(() -> {
@@ -126,9 +118,6 @@
             if (config.admin() != null) {
                 gateway.keepFigures();
             }
-            if (keeper != null) {
-                gateway.keepMemory(keeper);
-            }
             return new ClientSide(loop, gateway, config.settings(), most, life);
         }, loop).join();
         ChannelFuture listening = (passed == null ? clients.listen(config.listen()) : clients.accept(passed))
@@ -143,17 +132,11 @@
     }
 
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
-    private static void stop(EventLoop loop, ClientSide clients, Keeper keeper) {
+    private static void stop(EventLoop loop, ClientSide clients) {
         CountDownLatch answered = new CountDownLatch(1);
-        loop.execute(() -> {
-            clients.gateway().leaveMemory();
-            clients.stop(answered::countDown);
-        });
+        loop.execute(() -> clients.stop(answered::countDown));
         try {
             boolean all = answered.await(STOP_SECONDS, TimeUnit.SECONDS);
-            if (keeper != null) {
-                keeper.close(STOP_WRITING_MILLIS);
-            }
             System.out.println(all ? "stopped" : "stopped with requests unanswered");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -24,13 +24,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import mastdrift.Balance;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
@@ -67,8 +64,8 @@
             InetSocketAddress at = (InetSocketAddress) host.localAddress();
             List<HostList.Entry> hosts = IntStream.range(0, HOSTS).mapToObj(i -> new HostList.Entry(
                     new Host("rehearsal-" + i, config.settings().site().zone(), 0, "", 1, Health.UP, 0), at)).toList();
-            Config rehearsed = new Config(config.name(), any, false, null, at, null, config.sockets(),
-                    new HostList(0, true, hosts), config.settings(), config.settingsSum());
+            Config rehearsed = new Config(any, false, null, at, config.sockets(), new HostList(0, true, hosts),
+                    config.settings());
             PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
             Life life = new Life();
             ClientSide clients = CompletableFuture.supplyAsync(() -> new ClientSide(loop, new Gateway(rehearsed, loop,
@@ -77,9 +74,6 @@
             clients.listen(any).sync();
             life.started(() -> { });
             ask(clients.address(), config, longToo);
-            if (longToo) {
-                keep(clients.gateway(), rehearsed, loop, out);
-            }
             if (admin != null) {
                 call(admin, "GET /status");
                 call(admin, "GET /status/metrics");
@@ -93,25 +87,6 @@
         }
     }
 
-    /** Writes and reads what was learned, for the archive's sake as well. */
-    private static void keep(Gateway gateway, Config config, EventLoop loop, PrintStream out) throws IOException {
-        Path folder = Files.createTempDirectory("rehearsal");
-        PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
-        Keeper keeper = new Keeper(folder, config.name(), config.settingsSum(), 1, silent::println);
-        loop.submit(() -> gateway.keepMemory(keeper)).syncUninterruptibly();
-        loop.submit(gateway::leaveMemory).syncUninterruptibly();
-        keeper.close(PATIENCE_MILLIS);
-        if (keeper.read(gateway.now()) == null) {
-            out.println("rehearsal kept no memory");
-        }
-        try (Stream<Path> left = Files.list(folder)) {
-            for (Path each : left.toList()) {
-                Files.delete(each);
-            }
-        }
-        Files.delete(folder);
-    }
-
     private static void ask(InetSocketAddress at, Config config, boolean longToo) throws IOException {
         List<RequestClass> classes = config.settings().classes();
         String tenant = config.settings().tenants().isEmpty() ? "none" : config.settings().tenants().get(0).name();
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -264,27 +264,6 @@
         }
     }
 
-    /** Guards against a planned restart that forgets all: what a process knew at its stop is there for the next one. */
-    @Test
-    void whatAProcessLearnedGoesToTheNext() throws Exception {
-        try (Server discovery = discovery(); Server one = host("one")) {
-            Map<String, String> environment = new HashMap<>(
-                    environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
-            environment.put("TMPDIR", folder.toString());
-            for (String expected : List.of("no memory taken over: there is none", "memory of 1 hosts and 0 keys taken over")) {
-                Process process = start(environment);
-                try {
-                    await(discovery.received);  // it has started
-                    process.destroy();
-                    assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
-                    assertTrue(log().contains(expected), log());
-                } finally {
-                    process.destroyForcibly();
-                }
-            }
-        }
-    }
-
     /** Guards against clients that a replacement loses: the successor takes who comes, and the old process serves those
         that it has, tells them to leave, and closes what nobody asks on at last. */
     @Test
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -247,8 +247,7 @@
             Config config = Config.read(environment);
             Tally tally = config.tally();
             admin = config.admin() == null ? null : Admin.open(config.admin(), adminLoop, life, tally);
-            PrintStream out = new PrintStream(log, true, StandardCharsets.UTF_8);
-            clients = Main.start(config, passed, Main.keeper(config, out), loop, life, tally, out);
+            clients = Main.start(config, passed, loop, life, tally, new PrintStream(log, true, StandardCharsets.UTF_8));
         }
 
         Socket connect() throws IOException {
