--- /dev/null
+++ b/common/src/main/java/mastdrift/common/Json.java
@@ -0,0 +1,38 @@
+package mastdrift.common;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+
+/** Plain objects as text and back. */
+public final class Json {
+
+    private Json() { }
+
+    /** On one line. */
+    public static String text(Object object) {
+        try {
+            return JSON.std.asString(object);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Throws IllegalArgumentException for what is no JSON object. */
+    public static Map<String, Object> object(byte[] text) {
+        try {
+            return JSON.std.mapFrom(text);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("expected a JSON object: " + e.getOriginalMessage(), e);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Likewise. */
+    public static Map<String, Object> object(String text) {
+        return object(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+}
--- a/lab/src/main/java/mastdrift/lab/Agenda.java
+++ b/lab/src/main/java/mastdrift/lab/Agenda.java
@@ -3,7 +3,7 @@
 import java.util.PriorityQueue;
 
 /** What is to happen, in the order of time and, within one microsecond, in that in which it was put in. */
-final class Agenda {
+public final class Agenda {
 
     private record Entry(long at, long order, Runnable what) implements Comparable<Entry> {
         @Override
@@ -18,26 +18,26 @@
     private long now;
 
     /** Microseconds of the day's clock, which only goes forward. */
-    long now() {
+    public long now() {
         return now;
     }
 
     /** At that time, or now where it has passed. */
-    void at(long when, Runnable what) {
+    public void at(long when, Runnable what) {
         entries.add(new Entry(Math.max(now, when), order++, what));
     }
 
-    void in(long span, Runnable what) {
+    public void in(long span, Runnable what) {
         at(now + span, what);
     }
 
     /** When the next is due; {@code Long.MAX_VALUE} where nothing is. */
-    long next() {
+    public long next() {
         return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().at;
     }
 
     /** Plays all that is due by then, what comes of it included, and sets the clock to it. */
-    void runUntil(long until) {
+    public void runUntil(long until) {
         while (!entries.isEmpty() && entries.peek().at <= until) {
             Entry due = entries.poll();
             now = due.at;
--- a/lab/src/main/java/mastdrift/lab/DayFile.java
+++ b/lab/src/main/java/mastdrift/lab/DayFile.java
@@ -3,70 +3,37 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.stream.Collectors;
 import mastdrift.Balancer.Group;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.Weights;
-import org.tomlj.Toml;
-import org.tomlj.TomlArray;
-import org.tomlj.TomlParseResult;
-import org.tomlj.TomlPosition;
-import org.tomlj.TomlTable;
+import mastdrift.common.Range;
+import mastdrift.common.TomlFile;
 
 /** Reads a day from TOML. Every key that is unknown, of a wrong type or out of its bounds is named with file and line,
     all of them at once. What a file leaves out is as on the site that the gateway serves. */
 final class DayFile {
 
-    /** All that is wrong with a file, a line each. */
-    static final class Faults extends Exception {
-
-        private static final long serialVersionUID = 1L;
-        private final transient List<String> lines;
-
-        Faults(List<String> lines) {
-            super(String.join(System.lineSeparator(), lines));
-            this.lines = List.copyOf(lines);
-        }
-
-        List<String> lines() {
-            return lines;
-        }
-    }
-
-    private final String file;
-    private final List<String> faults = new ArrayList<>();
-
-    private DayFile(String file) {
-        this.file = file;
-    }
+    private DayFile() { }
 
     /** Throws Faults for a file that is no day, IOException for one that can't be read. */
-    static Plan read(Path file) throws Faults, IOException {
-        return new DayFile(file.toString()).plan(Toml.parse(file));
+    static Plan read(Path file) throws TomlFile.Faults, IOException {
+        return plan(TomlFile.read(file));
     }
 
     /** The same for a text. */
-    static Plan parse(String text, String name) throws Faults {
-        return new DayFile(name).plan(Toml.parse(text));
+    static Plan parse(String text, String name) throws TomlFile.Faults {
+        return plan(TomlFile.parse(text, name));
     }
 
-    private Plan plan(TomlParseResult root) throws Faults {
-        root.errors().forEach(error -> faults.add(file + ":" + error.position().line() + ": " + error.getMessage()));
-        if (!faults.isEmpty()) {
-            throw new Faults(faults);
-        }
-        Section top = new Section("", root);
-        Section f = top.section("fleet");
+    private static Plan plan(TomlFile file) throws TomlFile.Faults {
+        TomlFile.Section top = file.top();
+        TomlFile.Section f = top.section("fleet");
         Plan.Fleet fleet = new Plan.Fleet(f.whole("gateways", 3, 1, 5_000), f.whole("hosts", 10, 1, 20_000),
                 f.texts("zones", List.of("a", "b", "c")), f.range("start_s", 2, 4, 0.1, 60),
                 f.whole("hosts_per_cell", 4, 1, 1_000));
         f.done();
-        Section h = top.section("hosts");
+        TomlFile.Section h = top.section("hosts");
         Plan.Hosts hosts = new Plan.Hosts(h.range("handshake_rtts", 2, 3, 0, 10), h.range("handshake_ms", 0.5, 1, 0, 100),
                 h.range("connections_per_core", 600, 900, 1, 1e6), h.real("idle_s", 60, 0.1, 3600),
                 h.real("dial_timeout_ms", 250, 1, 60_000), h.range("choke_at", 7, 4, 1, 1000),
@@ -77,7 +44,7 @@
                 h.word("weights", Weights.class, Weights.LIVE));
         h.done();
         List<Plan.Kind> kinds = new ArrayList<>();
-        for (Section k : top.sections("kind")) {
+        for (TomlFile.Section k : top.sections("kind")) {
             kinds.add(new Plan.Kind(k.text("name", "std"), k.range("share", 0.5, 0.5, 0.001, 1),
                     k.whole("cores", 2, 1, 256), k.range("speed", 0.85, 1.1, 0.01, 100),
                     k.range("slots_per_core", 4, 12, 1, 1000), k.range("queue_per_core", 10, 39, 0, 10_000),
@@ -85,13 +52,13 @@
                     k.range("error_part", 0, 0.003, 0, 1)));
             k.done();
         }
-        Section t = top.section("traffic");
+        TomlFile.Section t = top.section("traffic");
         Plan.Traffic traffic = new Plan.Traffic(t.range("load", 0.65, 0.85, 0.001, 10), t.range("swing", 0.1, 0.3, 0, 1),
                 t.whole("keys", 250, 1, 10_000_000), t.range("zipf", 0.63, 0.87, 0.01, 5),
                 t.range("uneven", 0.05, 0.3, 0, 5));
         t.done();
         List<Plan.ClassPlan> classes = new ArrayList<>();
-        for (Section c : top.sections("class")) {
+        for (TomlFile.Section c : top.sections("class")) {
             classes.add(new Plan.ClassPlan(c.text("name", "read"), c.range("share", 0.5, 0.5, 0.001, 1),
                     c.range("work_ms", 16, 28, 0.01, 60_000), c.range("variation", 0.96, 1.4, 0, 10),
                     c.real("aim_ms", 250, 1, 600_000), c.real("deadline_ms", 670, 1, 600_000),
@@ -100,36 +67,36 @@
                     c.real("window_ms", 2000, 1, 600_000)));
             c.done();
         }
-        Section c = top.section("clients");
+        TomlFile.Section c = top.section("clients");
         Plan.Clients clients = new Plan.Clients(c.range("retries", 1, 3, 0, 100), c.range("try_share", 0.5, 0.8, 0.01, 1),
                 c.range("backoff_ms", 10, 80, 0, 60_000), c.range("honour", 0.7, 1, 0, 1),
                 c.range("impatient", 0, 0.03, 0, 1), c.real("max_retry_after_ms", 2000, 0, 600_000),
                 c.flag("marks_retry", true));
         c.done();
-        Section r = top.section("front");
+        TomlFile.Section r = top.section("front");
         Plan.Front front = new Plan.Front(r.range("notice_s", 0.4, 1.2, 0, 600));
         r.done();
-        Section n = top.section("net");
+        TomlFile.Section n = top.section("net");
         Plan.Net net = new Plan.Net(n.range("same_ms", 0.16, 0.33, 0, 10_000), n.range("cross_ms", 0.9, 1.7, 0, 10_000),
                 n.range("client_ms", 0.26, 0.82, 0, 10_000), n.range("jitter", 0.06, 0.33, 0, 5));
         n.done();
-        Section l = top.section("lists");
+        TomlFile.Section l = top.section("lists");
         Plan.Lists lists = new Plan.Lists(l.range("notice_s", 0.3, 1.8, 0, 600), l.range("silent_notice_s", 2, 5, 0, 600),
                 l.range("add_s", 0.2, 1, 0, 600), l.range("period_ms", 200, 1200, 1, 60_000),
                 l.range("calls_per_s", 200, 200, 0.1, 1e6));
         l.done();
-        Section u = top.section("rules");
+        TomlFile.Section u = top.section("rules");
         Plan.Rules rules = new Plan.Rules(u.real("slack_ms", 20, 0, 60_000), u.real("drain_grace_ms", 1500, 0, 600_000),
                 u.real("fall_multiple", 4, 1, 1000), u.real("fall_ms", 1000, 1, 600_000),
                 u.whole("max_attempts", 4, 1, 100), u.flag("second_copies", true), u.flag("probes", true));
         u.done();
-        Section g = top.section("goal");
+        TomlFile.Section g = top.section("goal");
         Plan.Goal goal = new Plan.Goal(g.real("whole", 0.35, 0, 1), g.real("worst_window", 0.45, 0, 1),
                 g.real("worst_class", 0.2, 0, 1), g.real("cross_zone", 0.013, 0, 10), g.real("waste", 0.027, 0, 10),
                 g.real("probe", 0.05, 0, 10), g.real("handshake", 0, 0, 10));
         g.done();
         List<Plan.Trouble> troubles = new ArrayList<>();
-        for (Section b : top.sections("trouble")) {
+        for (TomlFile.Section b : top.sections("trouble")) {
             Plan.What what = b.word("kind", Plan.What.class, null);
             troubles.add(new Plan.Trouble(what, b.range("at_s", 5, 15, 0, 86_400), b.range("for_s", 5, 20, 0.01, 86_400),
                     b.range("part", 0.1, 0.3, 0, 1), b.range("size", 2, 3, 0, 1000)));
@@ -137,11 +104,9 @@
         }
         String name = top.text("name", "day");
         int seconds = top.whole("seconds", 45, 1, 86_400);
-        Plan.Range tick = top.range("tick_ms", 1, 1, 0.1, 1000);
+        Range tick = top.range("tick_ms", 1, 1, 0.1, 1000);
         top.done();
-        if (!faults.isEmpty()) {
-            throw new Faults(faults);
-        }
+        file.check();
         if (kinds.isEmpty()) {
             kinds.add(DEFAULT_KIND);
         }
@@ -152,157 +117,12 @@
                 troubles);
     }
 
-    private static final Plan.Kind DEFAULT_KIND = new Plan.Kind("std", Plan.Range.of(1), 2, new Plan.Range(0.85, 1.1),
-            new Plan.Range(4, 12), new Plan.Range(11, 39), new Plan.Range(0.32, 0.6), new Plan.Range(1, 3),
-            new Plan.Range(0, 0.003));
+    private static final Plan.Kind DEFAULT_KIND = new Plan.Kind("std", Range.of(1), 2, new Range(0.85, 1.1),
+            new Range(4, 12), new Range(11, 39), new Range(0.32, 0.6), new Range(1, 3),
+            new Range(0, 0.003));
     private static final List<Plan.ClassPlan> DEFAULT_CLASSES = List.of(
-            new Plan.ClassPlan("leitura", new Plan.Range(0.58, 0.86), new Plan.Range(16, 28), new Plan.Range(0.96, 1.4), 250,
+            new Plan.ClassPlan("leitura", new Range(0.58, 0.86), new Range(16, 28), new Range(0.96, 1.4), 250,
                     670, 8, 0, Repeat.KEYED, Group.ZONE, 2000),
-            new Plan.ClassPlan("fechamento", new Plan.Range(0.22, 0.34), new Plan.Range(17, 30), new Plan.Range(0.74, 1.5), 150,
+            new Plan.ClassPlan("fechamento", new Range(0.22, 0.34), new Range(17, 30), new Range(0.74, 1.5), 150,
                     670, 10, 0, Repeat.UNSAFE, Group.ALL, 2000));
-
-    /** One table: gives each key that is asked for once, and then knows which were not asked for. */
-    private final class Section {
-
-        private final String path;
-        private final TomlTable table;
-        private final Set<String> known = new TreeSet<>();
-
-        Section(String path, TomlTable table) {
-            this.path = path;
-            this.table = table;
-        }
-
-        private Object value(String key) {
-            known.add(key);
-            return table.get(List.of(key));
-        }
-
-        private void fault(String key, String what) {
-            TomlPosition at = table.inputPositionOf(List.of(key));
-            faults.add(file + ":" + (at == null ? 1 : at.line()) + ": " + path + key + ": " + what);
-        }
-
-        Section section(String key) {
-            Object value = value(key);
-            if (value != null && !(value instanceof TomlTable)) {
-                fault(key, "expected a table");
-            }
-            return new Section(path + key + ".", value instanceof TomlTable given ? given : Toml.parse(""));
-        }
-
-        List<Section> sections(String key) {
-            List<Section> all = new ArrayList<>();
-            Object value = value(key);
-            if (value instanceof TomlArray array && array.toList().stream().allMatch(each -> each instanceof TomlTable)) {
-                for (int i = 0; i < array.size(); i++) {
-                    all.add(new Section(path + key + "[" + i + "].", array.getTable(i)));
-                }
-            } else if (value != null) {
-                fault(key, "expected tables, each begun by [[" + key + "]]");
-            }
-            return all;
-        }
-
-        private boolean within(String key, double value, double least, double most) {
-            boolean within = value >= least && value <= most;
-            if (!within) {
-                fault(key, "expected " + shown(least) + " to " + shown(most) + ", not " + shown(value));
-            }
-            return within;
-        }
-
-        Plan.Range range(String key, double from, double to, double least, double most) {
-            Object value = value(key);
-            if (value instanceof Number number && within(key, number.doubleValue(), least, most)) {
-                return Plan.Range.of(number.doubleValue());
-            }
-            if (value instanceof TomlArray array && array.size() == 2 && array.get(0) instanceof Number first
-                    && array.get(1) instanceof Number second) {
-                if (within(key, first.doubleValue(), least, most) && within(key, second.doubleValue(), least, most)) {
-                    return new Plan.Range(first.doubleValue(), second.doubleValue());
-                }
-            } else if (value != null && !(value instanceof Number)) {
-                fault(key, "expected a number or a range [from, to]");
-            }
-            return new Plan.Range(from, to);
-        }
-
-        double real(String key, double otherwise, double least, double most) {
-            Object value = value(key);
-            if (value instanceof Number number) {
-                return within(key, number.doubleValue(), least, most) ? number.doubleValue() : otherwise;
-            }
-            if (value != null) {
-                fault(key, "expected a number");
-            }
-            return otherwise;
-        }
-
-        int whole(String key, int otherwise, int least, int most) {
-            Object value = value(key);
-            if (value instanceof Long number) {
-                return within(key, number, least, most) ? number.intValue() : otherwise;
-            }
-            if (value != null) {
-                fault(key, "expected a whole number");
-            }
-            return otherwise;
-        }
-
-        boolean flag(String key, boolean otherwise) {
-            Object value = value(key);
-            if (value != null && !(value instanceof Boolean)) {
-                fault(key, "expected true or false");
-            }
-            return value instanceof Boolean given ? given : otherwise;
-        }
-
-        String text(String key, String otherwise) {
-            Object value = value(key);
-            if (value != null && (!(value instanceof String text) || text.isBlank() || text.contains(" "))) {
-                fault(key, "expected a name without spaces");
-            }
-            return value instanceof String given ? given : otherwise;
-        }
-
-        List<String> texts(String key, List<String> otherwise) {
-            Object value = value(key);
-            if (value instanceof TomlArray array && !array.isEmpty()
-                    && array.toList().stream().allMatch(each -> each instanceof String)) {
-                return array.toList().stream().map(Object::toString).toList();
-            }
-            if (value != null) {
-                fault(key, "expected a list of names");
-            }
-            return otherwise;
-        }
-
-        /** Null for {@code otherwise}: the key is needed. */
-        <E extends Enum<E>> E word(String key, Class<E> type, E otherwise) {
-            Object value = value(key);
-            for (E each : type.getEnumConstants()) {
-                if (value instanceof String text && text.equals(each.name().toLowerCase(Locale.ROOT))) {
-                    return each;
-                }
-            }
-            if (value != null || otherwise == null) {
-                fault(key, "expected one of " + Arrays.stream(type.getEnumConstants())
-                        .map(each -> each.name().toLowerCase(Locale.ROOT)).collect(Collectors.joining(", ")));
-            }
-            return otherwise;
-        }
-
-        void done() {
-            for (String key : table.keySet()) {
-                if (!known.contains(key)) {
-                    fault(key, "unknown key; known here: " + String.join(", ", known));
-                }
-            }
-        }
-
-        private static String shown(double value) {
-            return value == Math.rint(value) && Math.abs(value) < 1e9 ? Long.toString((long) value) : Double.toString(value);
-        }
-    }
 }
--- a/lab/src/main/java/mastdrift/lab/Dice.java
+++ b/lab/src/main/java/mastdrift/lab/Dice.java
@@ -1,5 +1,6 @@
 package mastdrift.lab;
 
+import mastdrift.common.Range;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
 import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
@@ -7,12 +8,12 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** One stream of random numbers for one purpose, so that what one part of a day draws moves nothing in another. */
-final class Dice {
+public final class Dice {
 
     private final UniformRandomProvider source;
 
     /** The same seed and purpose give the same numbers. */
-    Dice(long seed, String purpose) {
+    public Dice(long seed, String purpose) {
         source = RandomSource.XO_SHI_RO_256_PP.create(mix(seed * 0x9E3779B97F4A7C15L + purpose.hashCode()));
     }
 
@@ -27,29 +28,33 @@
         return (mix(mix(seed) + item * 0x9E3779B97F4A7C15L) >>> 11) * 0x1.0p-53;
     }
 
-    double unit() {
+    /** In [0, 1). */
+    public double unit() {
         return source.nextDouble();
     }
 
-    int below(int bound) {
+    /** In [0, bound). */
+    public int below(int bound) {
         return source.nextInt(bound);
     }
 
-    boolean chance(double part) {
+    /** True in that part of all cases. */
+    public boolean chance(double part) {
         return source.nextDouble() < part;
     }
 
-    double in(Plan.Range range) {
+    /** Evenly in the range. */
+    public double in(Range range) {
         return range.from() + (range.to() - range.from()) * source.nextDouble();
     }
 
     /** Exponential with that mean. */
-    double exponential(double mean) {
+    public double exponential(double mean) {
         return mean * ZigguratSampler.Exponential.of(source).sample();
     }
 
     /** Lognormal with mean 1 and that coefficient of variation. */
-    double noise(double variation) {
+    public double noise(double variation) {
         if (variation <= 0) {
             return 1;
         }
--- a/lab/src/main/java/mastdrift/lab/Lab.java
+++ b/lab/src/main/java/mastdrift/lab/Lab.java
@@ -13,13 +13,14 @@
 import java.util.function.IntConsumer;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.LongStream;
-import picocli.CommandLine;
+import mastdrift.common.TomlFile;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import picocli.CommandLine;
 
 /** The lab's commands. Exit status: 0 all held, 1 a rule was broken or a figure fell short, 2 they were misused. */
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "0.1.0", synopsisSubcommandLabel = "COMMAND",
@@ -45,7 +46,7 @@
     static int run(String[] args, PrintWriter out, PrintWriter err) {
         return new CommandLine(new Lab()).setOut(out).setErr(err)
                 .setExecutionExceptionHandler((fault, command, parsed) -> {
-                    command.getErr().println(fault instanceof DayFile.Faults || fault instanceof IOException
+                    command.getErr().println(fault instanceof TomlFile.Faults || fault instanceof IOException
                             || fault instanceof IllegalStateException ? fault.getMessage() : fault.toString());
                     return MISUSED;
                 }).execute(args);
@@ -57,7 +58,7 @@
     }
 
     /** Reads {@code 3}, {@code 1..8} and {@code 1,5,9..12}. */
-    static final class Seeds implements CommandLine.ITypeConverter<List<Long>> {
+    public static final class Seeds implements CommandLine.ITypeConverter<List<Long>> {
 
         private static final int MOST = 100_000;
 
@@ -99,7 +100,7 @@
         @Spec(Spec.Target.MIXEE)
         private CommandSpec spec;
 
-        Plan plan() throws DayFile.Faults, IOException {
+        Plan plan() throws TomlFile.Faults, IOException {
             if (threads < 1) {
                 throw new CommandLine.ParameterException(spec.commandLine(), "--threads has to be 1 or more");
             }
--- a/lab/src/main/java/mastdrift/lab/Machine.java
+++ b/lab/src/main/java/mastdrift/lab/Machine.java
@@ -14,10 +14,10 @@
  * A host: its cores are shared evenly among the requests in work, up to one core each; the rest wait in a room, and what
  * finds that full is turned away unseen. Times are in microseconds, work in microseconds on one core of speed 1.
  */
-final class Machine {
+public final class Machine {
 
     /** What it is made of, drawn once a day. Spans in microseconds. */
-    record Build(String address, String zone, int cell, String kind, int cores, double speed, int slots, int room,
+    public record Build(String address, String zone, int cell, String kind, int cores, double speed, int slots, int room,
             double coldFrom, long coldSpan, double errorPart, int connectionsMost, double chokeAt, long chokeOver,
             double chokeSlower, double chokeBelow, long chokeRest, double keyGain, int keysMost) {
         /** Another of the same make. */
@@ -28,7 +28,7 @@
     }
 
     /** A request in work, waiting or hung. */
-    static final class Job {
+    public static final class Job {
         private final long key;
         private final double work;
         private final Consumer<Outcome> answer;
@@ -36,14 +36,15 @@
         private boolean dropped;
         private boolean stopped;
 
-        Job(long key, double work, Consumer<Outcome> answer) {
+        /** The answer is told once, on the thread of the agenda. */
+        public Job(long key, double work, Consumer<Outcome> answer) {
             this.key = key;
             this.work = work;
             this.answer = answer;
         }
 
         /** Nobody waits for it any more; it is never begun where hosts {@code stop} what was cancelled. */
-        void drop(boolean stop) {
+        public void drop(boolean stop) {
             dropped = true;
             stopped = stop;
         }
@@ -62,14 +63,15 @@
     /** The start of its process as it is told, 0 for long ago. */
     long born;
     boolean up = true;
-    boolean leaving;
+    /** It takes nothing new. */
+    public boolean leaving;
     boolean hung;
     /** It takes part in nothing, as if its cable were pulled. */
     boolean silent;
     /** The part that a neighbour takes. */
     double taken;
     /** Whether its fall was the gateways' doing is asked of whom it fell. */
-    Consumer<Double> fell = part -> { };
+    public Consumer<Double> fell = part -> { };
 
     private final Agenda agenda;
     private final Dice dice;
@@ -91,7 +93,8 @@
     private long fallSpan = Long.MAX_VALUE;
     private double fallMultiple = Double.MAX_VALUE;
 
-    Machine(Build build, Agenda agenda, Dice dice) {
+    /** Up and warm, at the agenda's present. */
+    public Machine(Build build, Agenda agenda, Dice dice) {
         this.build = build;
         this.agenda = agenda;
         this.dice = dice;
@@ -106,15 +109,17 @@
     }
 
     /** In work or waiting. */
-    int held() {
+    public int held() {
         return working.size() + waiting.size();
     }
 
-    int waitingNow() {
+    /** In its room. */
+    public int waitingNow() {
         return waiting.size();
     }
 
-    double busy() {
+    /** The part of its cores in work of late. */
+    public double busy() {
         settle();
         return busy;
     }
@@ -210,7 +215,7 @@
     }
 
     /** Takes a request, or turns it away; {@code informed} tells whether the sender knew of its start. */
-    void arrive(Job job, boolean informed) {
+    public void arrive(Job job, boolean informed) {
         settle();
         crowd();
         press(job, informed);
@@ -253,7 +258,7 @@
     }
 
     /** From when on a press ends it: over so many times its capacity, within that span. */
-    void fallsAt(double multiple, long span) {
+    public void fallsAt(double multiple, long span) {
         fallMultiple = multiple;
         fallSpan = span;
     }
@@ -278,7 +283,7 @@
     }
 
     /** The process ends: its connections with it, and all that it held. */
-    void end() {
+    public void end() {
         settle();
         up = false;
         generation++;
@@ -298,7 +303,7 @@
     }
 
     /** A new process, cold and with no key warm. */
-    void start() {
+    public void start() {
         settle();
         up = true;
         leaving = false;
--- a/lab/src/main/java/mastdrift/lab/Node.java
+++ b/lab/src/main/java/mastdrift/lab/Node.java
@@ -5,12 +5,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mastdrift.Balancer;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.LoadReport;
 import mastdrift.Balancer.Outcome;
+import mastdrift.Balancer;
 
 /** A gateway: carries out what its module asks for and tells it what happens, as the real one does. */
 final class Node {
@@ -21,6 +21,7 @@
     /** From a start to its end; what belongs to an earlier one is void. */
     final class Life implements Balancer.Actions {
 
+        private final int brain;  // by which its module is known
         private Balancer module;
         private boolean over;
         boolean subscribed;
@@ -29,6 +30,18 @@
         private final Map<String, Told> told = new HashMap<>();
         private final Map<Machine, Deque<Link>> idle = new HashMap<>();
 
+        Life(int brain) {
+            this.brain = brain;
+        }
+
+        /** The process is gone, and all that it held. */
+        private void end() {
+            over = true;
+            world.brains().stop(brain);
+            idle.values().forEach(links -> links.forEach(Link::close));
+            List.copyOf(tries.values()).forEach(world::broken);
+        }
+
         @Override
         public void send(long id, String address, long timeout) {
             World.Try of = tries.get(id);
@@ -179,9 +192,10 @@
     private final World world;
     private final Agenda agenda;
     private final long idleMost;
-    private Life life = new Life();
+    private Life life;
     private boolean running;
     private int starts;
+    private int successors;
 
     Node(World world, Agenda agenda, int number, String zone, double part) {
         this.world = world;
@@ -190,6 +204,7 @@
         this.zone = zone;
         this.part = part;
         idleMost = (long) (world.plan().hosts().idleS() * 1e6);
+        life = new Life(number);
         life.over = true;
     }
 
@@ -207,10 +222,27 @@
 
     /** The process serves from now on, from the list as it last stood. */
     void start() {
+        begin(new Life(number));
+    }
+
+    /** A successor has started beside the process and takes all that comes from now on; the old one answers what it has, and
+        ends after so long. */
+    void succeed(long within, int gateways) {
+        if (running) {
+            Life old = life;
+            begin(new Life(number + ++successors * gateways));
+            agenda.in(within, () -> {
+                if (!old.over) {
+                    old.end();
+                }
+            });
+        }
+    }
+
+    private void begin(Life mine) {
         running = true;
-        life = new Life();
-        Life mine = life;
-        mine.module = world.brains().start(world.tick(), number, world.settings(this, starts++), mine);
+        life = mine;
+        mine.module = world.brains().start(world.tick(), mine.brain, world.settings(this, starts++), mine);
         list(mine, ListForm.CACHED, world.registry().all());
         mine.seen = world.registry().version();
         if (starts == 1) {
@@ -233,10 +265,7 @@
     /** Its process is gone, and all that it held. */
     void kill() {
         running = false;
-        life.over = true;
-        world.brains().stop(number);
-        life.idle.values().forEach(links -> links.forEach(Link::close));
-        List.copyOf(life.tries.values()).forEach(world::broken);
+        life.end();
     }
 
     void list(Life of, ListForm form, List<Host> hosts) {
--- a/lab/src/main/java/mastdrift/lab/Plan.java
+++ b/lab/src/main/java/mastdrift/lab/Plan.java
@@ -4,6 +4,7 @@
 import mastdrift.Balancer.Group;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.Weights;
+import mastdrift.common.Range;
 
 /**
  * A day as its file has it: ranges, of which each seed draws one day. Spans are in seconds or milliseconds as the names
@@ -24,13 +25,6 @@
                 clients, front, net, lists, rules, goal, troubles);
     }
 
-    /** From the mildest to the worst, which may be the smaller one. */
-    record Range(double from, double to) {
-        static Range of(double value) {
-            return new Range(value, value);
-        }
-    }
-
     /** How many gateways and hosts, their zones by name, and how long a gateway takes to start. */
     record Fleet(int gateways, int hosts, List<String> zones, Range startS, int hostsPerCell) { }
 
@@ -72,7 +66,7 @@
             double handshake) { }
 
     /** What goes wrong. */
-    enum What { HANG, NEIGHBOUR, GROW, RELEASE, JOIN, ZONE, SPLIT, ROLL, HERD, LATE_LISTS, NO_LISTS, LOSS, RESETS }
+    enum What { HANG, NEIGHBOUR, GROW, RELEASE, JOIN, ZONE, SPLIT, ROLL, HERD, HANDOVER, LATE_LISTS, NO_LISTS, LOSS, RESETS }
 
     /** When it begins, how long it lasts, the part of hosts or gateways it takes, and how hard. */
     record Trouble(What what, Range atS, Range forS, Range part, Range size) { }
--- a/lab/src/main/java/mastdrift/lab/SettingsText.java
+++ b/lab/src/main/java/mastdrift/lab/SettingsText.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Locale;
-import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Repeat;
+import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Settings;
 
 /** Settings as the wire's {@code init} has them: paths and values, joined by spaces. See WIRE, section 5. */
--- a/lab/src/main/java/mastdrift/lab/World.java
+++ b/lab/src/main/java/mastdrift/lab/World.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
-import mastdrift.Balancer;
 import mastdrift.Balancer.Cpu;
 import mastdrift.Balancer.Goal;
 import mastdrift.Balancer.Habits;
@@ -22,6 +21,7 @@
 import mastdrift.Balancer.Settings;
 import mastdrift.Balancer.Site;
 import mastdrift.Balancer.Value;
+import mastdrift.Balancer;
 import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
 
 /** One day of one seed: the hosts, the gateways and what goes between them, in simulated time. */
@@ -102,6 +102,7 @@
     private static final double REPORT_NOISE = 0.05;
     private static final long DRAIN_FOR = 2_000_000;  // of a host that is replaced in a release
     private static final long START_OF_HOST = 600_000;
+    private static final long HANDOVER_FOR = 3_700_000;  // the platform's time from SIGTERM to SIGKILL
 
     private final Plan plan;
     private final long seed;
@@ -695,6 +696,12 @@
                     agenda.at(at + span * step / 10, () -> restart(node));
                 }
             }
+            case HANDOVER -> {
+                for (int i = 0; i < nodes.size(); i++) {
+                    Node node = nodes.get(i);
+                    agenda.at(at + span * i / nodes.size(), () -> node.succeed(HANDOVER_FOR, nodes.size()));
+                }
+            }
             case HERD -> agenda.at(at, () -> gateways.forEach(this::restart));
             case LATE_LISTS -> during(at, span, () -> registry.late = Math.max(1, size), () -> registry.late = 1);
             case NO_LISTS -> during(at, span, () -> registry.down = true, () -> registry.down = false);
--- a/lab/src/test/java/mastdrift/lab/DayFileTest.java
+++ b/lab/src/test/java/mastdrift/lab/DayFileTest.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
+import mastdrift.common.Range;
+import mastdrift.common.TomlFile;
 import org.junit.jupiter.api.Test;
 
 class DayFileTest {
@@ -26,8 +28,8 @@
                 """, "some.toml");
         assertEquals("some", plan.name());
         assertEquals(5, plan.fleet().gateways());
-        assertEquals(new Plan.Range(0.5, 0.7), plan.traffic().load());
-        assertEquals(new Plan.Range(4, 4), plan.troubles().get(0).atS());
+        assertEquals(new Range(0.5, 0.7), plan.traffic().load());
+        assertEquals(new Range(4, 4), plan.troubles().get(0).atS());
         assertEquals(Plan.What.ZONE, plan.troubles().get(0).what());
         assertEquals(DayFile.parse("", "empty").hosts(), plan.hosts());
         assertEquals(2, plan.classes().size());
@@ -36,7 +38,7 @@
     /** Guards against a day of which a mistyped line changes nothing, and against one error told at a time. */
     @Test
     void everyFaultIsNamedWithFileLineAndKeyAllAtOnce() {
-        DayFile.Faults faults = assertThrows(DayFile.Faults.class, () -> DayFile.parse("""
+        TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> DayFile.parse("""
                 seconds = "long"
                 [fleet]
                 gatways = 5
@@ -54,12 +56,12 @@
                 "bad.toml:6: traffic.load: expected a number or a range [from, to]",
                 "bad.toml:10: class[0].name: expected a name without spaces",
                 "bad.toml:8: trouble[0].kind: expected one of hang, neighbour, grow, release, join, zone, split, roll, herd, "
-                + "late_lists, no_lists, loss, resets", "bad.toml:1: seconds: expected a whole number"), faults.lines());
+                + "handover, late_lists, no_lists, loss, resets", "bad.toml:1: seconds: expected a whole number"), faults.lines());
     }
 
     @Test
     void whatIsNoTomlIsNamedByItsLine() {
-        DayFile.Faults faults = assertThrows(DayFile.Faults.class, () -> DayFile.parse("name = \"x\"\nseconds 4\n", "odd.toml"));
+        TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> DayFile.parse("name = \"x\"\nseconds 4\n", "odd.toml"));
         assertTrue(faults.lines().get(0).startsWith("odd.toml:2: "), faults.getMessage());
     }
 
--- a/lab/src/test/java/mastdrift/lab/WorldTest.java
+++ b/lab/src/test/java/mastdrift/lab/WorldTest.java
@@ -6,9 +6,9 @@
 
 import java.io.StringWriter;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.HashMap;
 import java.util.function.UnaryOperator;
 import java.util.stream.LongStream;
 import mastdrift.Balancer;
