--- a/cli/src/main/java/mastdrift/cli/Springspar.java
+++ b/cli/src/main/java/mastdrift/cli/Springspar.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import mastdrift.registry.Commands;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -19,10 +20,10 @@
 
 /** The command for staff. Exit status: 0 yes, 1 the gateway says no or a wait ran out, 2 misuse, 3 nobody answers. */
 @Command(name = "springspar", mixinStandardHelpOptions = true, version = "0.1.0", synopsisSubcommandLabel = "COMMAND",
-        description = "Starts a gateway, and calls one.",
+        description = "Starts a gateway and what goes with it, and calls them.",
         subcommands = {Springspar.Serve.class, Springspar.Adapter.class, Springspar.Status.class, Springspar.Metrics.class,
             Springspar.Standby.class, Springspar.Active.class, Springspar.Drain.class, Springspar.Completion.class,
-            CommandLine.HelpCommand.class})
+            Commands.Registry.class, Commands.StartAgent.class, Commands.Endpoints.class, CommandLine.HelpCommand.class})
 public final class Springspar implements Runnable {
 
     static final int YES = 0;
@@ -40,6 +41,7 @@
 
     /** Runs and exits with the status. */
     public static void main(String[] args) {
+        mastdrift.registry.Main.logToOutput();
         int status = run(args, System.getenv(), new PrintWriter(System.out, true, StandardCharsets.UTF_8),
                 new PrintWriter(System.err, true, StandardCharsets.UTF_8));
         if (status != YES) {
--- /dev/null
+++ b/registry/src/main/java/mastdrift/registry/Agent.java
@@ -0,0 +1,208 @@
+package mastdrift.registry;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import mastdrift.common.Backoff;
+import mastdrift.common.Clock;
+import mastdrift.common.Disk;
+import mastdrift.common.Follow;
+import mastdrift.common.Http;
+import mastdrift.common.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Beside a gateway: answers its discovery at once from the list that it holds, and follows the list service for news.
+    All state is its event loop's. */
+public final class Agent implements AutoCloseable {
+
+    /** What an agent is told: its files, where gateways call it, and where the replicas are. */
+    public record Setup(Path folder, InetSocketAddress listen, List<InetSocketAddress> replicas) { }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Agent.class);
+    private static final int DIAL_MILLIS = 1000;
+    private static final int SILENCE_MILLIS = 5000;  // a replica sends an empty line every 2 s
+    private static final int PAUSE_LEAST_MILLIS = 50;
+    private static final int PAUSE_MOST_MILLIS = 3000;
+    private static final int KEEP_MILLIS = 200;  // changes that come within are written once
+    private static final int WATCHES_MOST = 64;
+
+    private final Setup setup;
+    private final Clock clock;
+    private final Disk disk;
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final ExecutorService writer = Executors.newSingleThreadExecutor();
+    private final AgentList list = new AgentList();
+    private final Feed feed;
+    private final Http http;
+    private final Backoff backoff = new Backoff(PAUSE_LEAST_MILLIS, PAUSE_MOST_MILLIS,
+            () -> ThreadLocalRandom.current().nextDouble());
+    private final Path file;
+    private final Gauges gauges = new Gauges();
+    private Follow follow;
+    private int replica;
+    private String source = "none";
+    private long heardAt;
+    private boolean heard;
+    private boolean keeping;
+    private long refusedOlder;
+    private long refusedEmpty;
+    private long refusedSpoilt;
+    private long changes;
+    private long unkept;
+
+    /** Serves what its folder holds at once, with no replica in reach too; throws IOException for an address that can't be
+        listened on. */
+    public Agent(Setup setup, Clock clock, Disk disk) throws IOException {
+        this.setup = setup;
+        this.clock = clock;
+        this.disk = disk;
+        file = setup.folder().resolve("list.json");
+        Files.createDirectories(setup.folder());
+        try {
+            byte[] kept = disk.read(file);
+            if (kept != null && list.take(new String(kept, StandardCharsets.UTF_8)) == AgentList.Taken.NEWER) {
+                source = "file";
+                LOG.info("list-from-file rev={} entries={}", list.rev(), list.size());
+            }
+        } catch (IOException e) {
+            LOG.info("list-file-refused {}", e.getMessage());
+        }
+        replica = ThreadLocalRandom.current().nextInt(setup.replicas().size());
+        feed = new Feed(loop, clock, list::rev, list::since, WATCHES_MOST);
+        gauges.put("agent_revision", "Revision of the list that is served.", list::rev)
+                .put("agent_entries", "Entries on it.", list::size)
+                .put("agent_list_age_seconds", "Since a replica was last heard; NaN before the first.", this::age)
+                .put("agent_source_is_file", "1 where the list is from this agent's file and no replica was heard yet.",
+                        () -> source.equals("file") ? 1 : 0)
+                .put("agent_lists_refused", "Lists older, empty or spoilt that were not let through.",
+                        () -> refusedOlder + refusedEmpty + refusedSpoilt)
+                .put("agent_lists_not_kept", "Lists that could not be written to the file.", () -> unkept);
+        http = Http.listen(loop, setup.listen(), this::handle);
+        LOG.info("listening on {}:{}", setup.listen().getHostString(), http.port());
+        loop.execute(this::follow);
+    }
+
+    private void follow() {
+        InetSocketAddress at = setup.replicas().get(replica);
+        follow = Follow.begin(loop, at, "/v1/endpoints?watch=1&from=" + list.rev(),
+                Map.of("X-Least-Revision", Long.toString(list.rev())), DIAL_MILLIS, SILENCE_MILLIS,
+                line -> take(at, line), cause -> turn(at, cause));
+    }
+
+    private void take(InetSocketAddress at, String line) {
+        heardAt = clock.monotonic();
+        heard = true;
+        if (line.isBlank()) {
+            return;
+        }
+        AgentList.Taken taken = list.take(line);
+        switch (taken) {
+            case NEWER -> {
+                changes++;
+                backoff.reset();
+                source = at.getHostString() + ":" + at.getPort();
+                LOG.info("list rev={} entries={} from={}", list.rev(), list.size(), source);
+                feed.changed();
+                keep();
+            }
+            case SAME -> {
+                backoff.reset();
+                source = at.getHostString() + ":" + at.getPort();
+            }
+            case OLDER -> refusedOlder++;
+            case EMPTY -> refusedEmpty++;
+            default -> refusedSpoilt++;
+        }
+        if (taken != AgentList.Taken.NEWER && taken != AgentList.Taken.SAME) {
+            LOG.info("list-refused why={} from={}:{}", taken, at.getHostString(), at.getPort());
+            follow.stop();
+            turn(at, "a list that is " + taken);
+        }
+    }
+
+    /** To the next replica, after a pause. */
+    private void turn(InetSocketAddress at, String cause) {
+        long pause = backoff.next();
+        replica = (replica + 1) % setup.replicas().size();
+        LOG.info("replica-left {}:{} cause=\"{}\" pause={}", at.getHostString(), at.getPort(), cause, pause);
+        loop.schedule(this::follow, pause, TimeUnit.MILLISECONDS);
+    }
+
+    private void keep() {
+        if (!keeping) {
+            keeping = true;
+            loop.schedule(() -> {
+                keeping = false;
+                byte[] bytes = list.bytes();
+                writer.execute(() -> write(bytes));
+            }, KEEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void write(byte[] bytes) {
+        try {
+            disk.write(file, bytes);
+        } catch (IOException e) {
+            LOG.info("list-not-kept {}", e.toString());
+            loop.execute(() -> unkept++);
+        }
+    }
+
+    private void handle(Http.Call call) {
+        switch (call.path()) {
+            case "/v1/endpoints" -> {
+                if (list.rev() == 0) {
+                    call.json(503, "{\"error\":\"no list yet\"}", "Retry-After", "1");
+                } else if ("1".equals(call.query("watch"))) {
+                    feed.watch(call, call.number("from", 0));
+                } else {
+                    call.json(200, list.since(0).text());
+                }
+            }
+            case "/metrics" -> call.answer(200, "text/plain; version=0.0.4", gauges.text());
+            case "/v1/agent" -> call.json(200, Json.text(status()));
+            default -> call.json(404, "{\"error\":\"no such call\"}");
+        }
+    }
+
+    /** What staff see; the age counts from the last line of a replica, in seconds, and is null before the first. */
+    private Map<String, Object> status() {
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("rev", list.rev());
+        status.put("entries", list.size());
+        status.put("source", source);
+        status.put("age_s", heard ? age() : null);
+        status.put("changes", changes);
+        status.put("refused_older", refusedOlder);
+        status.put("refused_empty", refusedEmpty);
+        status.put("refused_spoilt", refusedSpoilt);
+        status.put("not_kept", unkept);
+        status.put("watches", feed.count());
+        return status;
+    }
+
+    private double age() {
+        return heard ? (clock.monotonic() - heardAt) / 1e6 : Double.NaN;
+    }
+
+    @Override
+    public void close() {
+        http.close();
+        loop.submit(() -> follow.stop()).syncUninterruptibly();
+        writer.shutdown();
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/registry/src/main/java/mastdrift/registry/Commands.java
@@ -0,0 +1,421 @@
+package mastdrift.registry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import mastdrift.common.Clock;
+import mastdrift.common.Disk;
+import mastdrift.common.Http;
+import mastdrift.common.Json;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** What the springspar command has for the list service. Exit status: 0 yes, 1 the service says no, 2 misuse, 3 nobody
+    answers. */
+public final class Commands {
+
+    static final int YES = 0;
+    static final int NO = 1;
+    static final int NOBODY = 3;
+    private static final int WATCHES_MOST = 2000;
+
+    private Commands() { }
+
+    /** Starts a replica. */
+    @Command(name = "registry", mixinStandardHelpOptions = true,
+            description = "Starts a replica of the list service; alone, with a folder, it is the whole service.",
+            subcommands = {RegistryStatus.class, Members.class, Backup.class, Restore.class})
+    public static final class Registry implements Callable<Integer> {
+
+        @Option(names = "--name", defaultValue = "registry-1", description = "this replica (default: ${DEFAULT-VALUE})")
+        private String name;
+
+        @Option(names = "--folder", paramLabel = "DIR", description = "where its files are; needed")
+        private Path folder;
+
+        @Option(names = "--listen", paramLabel = "ADDRESS:PORT", defaultValue = "127.0.0.1:9400",
+                description = "where it is called (default: ${DEFAULT-VALUE})")
+        private String listen;
+
+        @Option(names = "--raft", paramLabel = "ADDRESS:PORT", defaultValue = "127.0.0.1:9401",
+                description = "where it listens for other replicas (default: ${DEFAULT-VALUE})")
+        private String raft;
+
+        @Option(names = "--peer", paramLabel = "NAME=RAFT/HTTP",
+                description = "a replica and where others reach it, by its log and by calls; once for each, this one too. "
+                        + "None: it is alone")
+        private Map<String, String> peers = new LinkedHashMap<>();
+
+        @Option(names = "--watches", paramLabel = "N", defaultValue = "" + WATCHES_MOST,
+                description = "so many watch at most (default: ${DEFAULT-VALUE})")
+        private int watches;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            List<String> faults = new ArrayList<>();
+            if (folder == null) {
+                faults.add("--folder is needed");
+            }
+            if (!peers.isEmpty() && !peers.containsKey(name)) {
+                faults.add("--peer: " + name + " itself is missing");
+            }
+            if (peers.size() % 2 == 0 && !peers.isEmpty()) {
+                faults.add("--peer: an odd number of replicas is needed, not " + peers.size());
+            }
+            if (!faults.isEmpty()) {
+                throw new CommandLine.ParameterException(spec.commandLine(), String.join(System.lineSeparator(), faults));
+            }
+            Map<String, Peers.Address> all = new LinkedHashMap<>();
+            peers.forEach((peer, address) -> all.put(peer, Peers.Address.of(address)));
+            all.putIfAbsent(name, new Peers.Address(raft, listen));
+            Main.endOnFaults();
+            Replica replica = new Replica(new Replica.Setup(name, folder, Http.address(listen), Http.address(raft), all,
+                    watches), Clock.SYSTEM, new Catalogue(), new Disk());
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    replica.close();
+                } catch (IOException e) {
+                    System.err.println(e);
+                }
+            }));
+            replica.begin();
+            replica.await();
+            return YES;
+        }
+    }
+
+    /** Starts an agent. */
+    @Command(name = "agent", mixinStandardHelpOptions = true,
+            description = "Starts an agent beside a gateway: discovery for it, from the list service.")
+    public static final class StartAgent implements Callable<Integer> {
+
+        @Option(names = "--folder", paramLabel = "DIR", required = true, description = "where it keeps the last list")
+        private Path folder;
+
+        @Option(names = "--listen", paramLabel = "ADDRESS:PORT", defaultValue = "127.0.0.1:8500",
+                description = "where gateways call it (default: ${DEFAULT-VALUE})")
+        private String listen;
+
+        @Option(names = "--registry", paramLabel = "ADDRESS:PORT", split = ",", defaultValue = "127.0.0.1:9400",
+                description = "the replicas (default: ${DEFAULT-VALUE})")
+        private List<String> registry;
+
+        @Override
+        public Integer call() throws Exception {
+            List<InetSocketAddress> replicas = registry.stream().map(Http::address).toList();
+            Main.endOnFaults();
+            Agent agent = new Agent(new Agent.Setup(folder, Http.address(listen), replicas), Clock.SYSTEM, new Disk());
+            Runtime.getRuntime().addShutdownHook(new Thread(agent::close));
+            Thread.currentThread().join();
+            return YES;
+        }
+    }
+
+    /** Nobody answered, or not in time. */
+    static final class NoAnswer extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        NoAnswer(String message) {
+            super(message);
+        }
+    }
+
+    /** What all calls take. */
+    static final class Calling {
+
+        private static final Duration WITHIN = Duration.ofSeconds(4);
+
+        @Option(names = "--registry", paramLabel = "ADDRESS:PORT", split = ",", defaultValue = "127.0.0.1:9400",
+                description = "the replicas, asked in turn (default: ${DEFAULT-VALUE})")
+        private List<String> registry;
+
+        @Option(names = "--json", description = "as JSON, for scripts")
+        private boolean json;
+
+        @Spec(Spec.Target.MIXEE)
+        private CommandSpec spec;
+
+        /** An answer: from whom, and what. */
+        record Answer(int status, Map<String, Object> body) {
+            boolean yes() {
+                return status / 100 == 2;
+            }
+        }
+
+        Answer call(String method, String path, String body) throws NoAnswer, InterruptedException {
+            HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+            StringBuilder causes = new StringBuilder();
+            for (String each : registry) {
+                HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + each + path)).timeout(WITHIN)
+                        .method(method, body == null ? HttpRequest.BodyPublishers.noBody()
+                                : HttpRequest.BodyPublishers.ofString(body)).build();
+                try {
+                    HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+                    if (answer.statusCode() != 503) {
+                        return new Answer(answer.statusCode(), Json.object(answer.body()));
+                    }
+                    causes.append("; ").append(each).append(": ").append(answer.body());
+                } catch (IOException | IllegalArgumentException e) {
+                    causes.append("; ").append(each).append(": ").append(e.getMessage() == null ? "no answer" : e.getMessage());
+                }
+            }
+            throw new NoAnswer("no replica answers" + causes);
+        }
+
+        /** The object for scripts, else the line; the service's no on standard error. */
+        int tell(Answer answer, String line) {
+            if (json) {
+                spec.commandLine().getOut().println(Json.text(answer.body()));
+            } else if (answer.yes()) {
+                spec.commandLine().getOut().println(line);
+            } else {
+                spec.commandLine().getErr().println(answer.body().get("error"));
+            }
+            return answer.yes() ? YES : NO;
+        }
+    }
+
+    /** Runs a call; nobody's answer is a status of its own. */
+    abstract static class Asking implements Callable<Integer> {
+
+        @Mixin
+        private Calling calling;
+
+        @Spec
+        private CommandSpec spec;
+
+        abstract int ask(Calling calling) throws NoAnswer, InterruptedException;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            try {
+                return ask(calling);
+            } catch (NoAnswer e) {
+                spec.commandLine().getErr().println(e.getMessage());
+                return NOBODY;
+            } catch (IllegalArgumentException e) {
+                throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage(), e);
+            }
+        }
+    }
+
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Tells who leads and which revision there is.")
+    static final class RegistryStatus extends Asking {
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            Calling.Answer answer = calling.call("GET", "/v1/registry", null);
+            Map<String, Object> body = answer.body();
+            return calling.tell(answer, body.get("name") + ": leader " + body.get("leader") + ", term " + body.get("term")
+                    + ", revision " + body.get("rev") + ", " + body.get("entries") + " entries, " + body.get("stale")
+                    + " stale, " + body.get("watches") + " watches");
+        }
+    }
+
+    @Command(name = "members", mixinStandardHelpOptions = true,
+            description = "The replicas that are counted, by the folders that they have now.")
+    static final class Members extends Asking {
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            Calling.Answer answer = calling.call("GET", "/v1/registry", null);
+            StringBuilder lines = new StringBuilder();
+            if (answer.body().get("members") instanceof Map<?, ?> members && answer.body().get("ids") instanceof List<?> ids) {
+                members.forEach((name, member) -> {
+                    Object id = ((Map<?, ?>) member).get("id");
+                    lines.append(name).append("  ").append(id).append(ids.contains(id) ? "" : "  not counted")
+                            .append(name.equals(answer.body().get("leader")) ? "  leads" : "").append(System.lineSeparator());
+                });
+            }
+            return calling.tell(answer, lines.toString().stripTrailing());
+        }
+    }
+
+    @Command(name = "backup", mixinStandardHelpOptions = true, description = "Writes all entries and leases to a file.")
+    static final class Backup extends Asking {
+
+        @Parameters(index = "0", paramLabel = "FILE")
+        private Path file;
+
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            Calling.Answer answer = calling.call("GET", "/v1/backup", null);
+            if (answer.yes()) {
+                try {
+                    new Disk().write(file, Json.text(answer.body()).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+                } catch (IOException e) {
+                    throw new IllegalArgumentException("can't write " + file + ": " + e.getMessage(), e);
+                }
+            }
+            return calling.tell(answer, file + ": revision " + answer.body().get("rev"));
+        }
+    }
+
+    @Command(name = "restore", mixinStandardHelpOptions = true,
+            description = "Puts what a backup holds into a service that has no entries; revisions go on far beyond it.")
+    static final class Restore extends Asking {
+
+        @Parameters(index = "0", paramLabel = "FILE")
+        private Path file;
+
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            byte[] content;
+            try {
+                content = new Disk().read(file);
+            } catch (IOException e) {
+                throw new IllegalArgumentException(e.getMessage(), e);
+            }
+            if (content == null) {
+                throw new IllegalArgumentException(file + " does not exist");
+            }
+            Calling.Answer answer = calling.call("POST", "/v1/restore",
+                    new String(content, java.nio.charset.StandardCharsets.UTF_8));
+            return calling.tell(answer, answer.body().get("entries") + " entries, at revision " + answer.body().get("rev"));
+        }
+    }
+
+    /** The list and its entries. */
+    @Command(name = "endpoints", mixinStandardHelpOptions = true, description = "The list of hosts and its entries.",
+            subcommands = {ListAll.class, Watch.class, Put.class, Drain.class, Remove.class})
+    public static final class Endpoints implements Runnable {
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public void run() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
+        }
+    }
+
+    @Command(name = "list", mixinStandardHelpOptions = true, description = "All entries, a line each.")
+    static final class ListAll extends Asking {
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            Calling.Answer answer = calling.call("GET", "/v1/entries", null);
+            StringBuilder lines = new StringBuilder();
+            if (answer.body().get("entries") instanceof List<?> entries) {
+                for (Object each : entries) {
+                    Map<?, ?> entry = (Map<?, ?>) each;
+                    lines.append(String.format(Locale.ROOT, "%-20s %-22s zone %-10s %-12s revision %s%s%n", entry.get("uid"),
+                            entry.get("endpoint"), entry.get("az"), entry.get("state"), entry.get("rev"),
+                            Boolean.TRUE.equals(entry.get("stale")) ? "  stale" : ""));
+                }
+            }
+            return calling.tell(answer, lines + "revision " + answer.body().get("rev"));
+        }
+    }
+
+    @Command(name = "watch", mixinStandardHelpOptions = true, description = "Each change as it comes, a line of JSON each.")
+    static final class Watch extends Asking {
+
+        @Option(names = "--from", paramLabel = "REVISION", defaultValue = "0",
+                description = "what came after it (default: all, and then what changes)")
+        private long from;
+
+        @Option(names = "--lines", paramLabel = "N", defaultValue = "0", description = "end after so many (default: never)")
+        private int lines;
+
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + calling.registry.get(0)
+                    + "/v1/endpoints?watch=1&from=" + from)).build();
+            try {
+                java.util.stream.Stream<String> all = client.send(request, HttpResponse.BodyHandlers.ofLines()).body()
+                        .filter(line -> !line.isBlank());
+                (lines > 0 ? all.limit(lines) : all).forEach(calling.spec.commandLine().getOut()::println);
+                return YES;
+            } catch (IOException | java.io.UncheckedIOException e) {
+                throw new NoAnswer(calling.registry.get(0) + ": " + e.getMessage());
+            }
+        }
+    }
+
+    @Command(name = "put", mixinStandardHelpOptions = true, description = "Puts a host on the list, or changes its entry.")
+    static final class Put extends Asking {
+
+        @Parameters(index = "0", paramLabel = "UID")
+        private String uid;
+
+        @Parameters(index = "1", paramLabel = "ADDRESS:PORT")
+        private String endpoint;
+
+        @Option(names = "--zone", defaultValue = "", description = "its zone")
+        private String zone;
+
+        @Option(names = "--model", defaultValue = "std", description = "its kind (default: ${DEFAULT-VALUE})")
+        private String model;
+
+        @Option(names = "--capacity", defaultValue = "1", description = "its weight (default: ${DEFAULT-VALUE})")
+        private double capacity;
+
+        @Option(names = "--lease-ms", defaultValue = "0",
+                description = "it goes if it is not renewed for so long (default: never)")
+        private long lease;
+
+        @Option(names = "--if-rev", paramLabel = "REVISION", description = "only if that is its revision; 0: only if it is new")
+        private Long revision;
+
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            Map<String, Object> entry = new LinkedHashMap<>();
+            entry.put("endpoint", endpoint);
+            entry.put("az", zone);
+            entry.put("model", model);
+            entry.put("capacity_hint", capacity);
+            entry.put("lease_ms", lease);
+            Calling.Answer answer = calling.call("PUT", "/v1/entries/" + uid + (revision == null ? "" : "?if_rev=" + revision),
+                    Json.text(entry));
+            return calling.tell(answer, uid + " at revision " + answer.body().get("rev"));
+        }
+    }
+
+    @Command(name = "drain", mixinStandardHelpOptions = true, description = "Gives a host nothing new.")
+    static final class Drain extends Asking {
+
+        @Parameters(index = "0", paramLabel = "UID")
+        private String uid;
+
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            Calling.Answer answer = calling.call("POST", "/v1/entries/" + uid + "/drain", "");
+            return calling.tell(answer, uid + " drains, at revision " + answer.body().get("rev"));
+        }
+    }
+
+    @Command(name = "remove", mixinStandardHelpOptions = true,
+            description = "Takes a host off the list: by a drain of 3 s, unless --now is given.")
+    static final class Remove extends Asking {
+
+        @Parameters(index = "0", paramLabel = "UID")
+        private String uid;
+
+        @Option(names = "--now", description = "at once, without a drain")
+        private boolean now;
+
+        @Override
+        int ask(Calling calling) throws NoAnswer, InterruptedException {
+            Calling.Answer answer = calling.call("DELETE", "/v1/entries/" + uid + (now ? "?now=1" : ""), null);
+            return calling.tell(answer, uid + " leaves, at revision " + answer.body().get("rev"));
+        }
+    }
+}
--- /dev/null
+++ b/registry/src/main/java/mastdrift/registry/Duties.java
@@ -0,0 +1,240 @@
+package mastdrift.registry;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import mastdrift.common.Json;
+
+/**
+ * Work that one process does at a time: who holds it, until when by the log's time, who waits, and how far the work is. A
+ * holder's token grows with every grant, over all duties, and whatever has a token of a duty is refused once a newer one was
+ * granted. Part of {@link Catalogue}, under whose lock it is.
+ */
+final class Duties {
+
+    /** Steps that were recorded are remembered by their ids, so many of each duty. */
+    static final int STEPS_KEPT = 1000;
+
+    private static final class Duty {
+        private String holder;
+        private long token;
+        private long span;
+        private long until;
+        private long rev;
+        private final Map<String, Long> waiting = new LinkedHashMap<>();  // in the order they came, each until when
+        private Map<String, Object> state = new LinkedHashMap<>();
+        private final List<String> steps = new ArrayList<>();
+    }
+
+    private final Map<String, Duty> duties = new TreeMap<>();
+    private long tokens;
+    private long rev;
+
+    long rev() {
+        return rev;
+    }
+
+    /** Tells whether that token may still act for the duty. */
+    boolean current(String name, long token) {
+        Duty duty = duties.get(name);
+        return duty != null && duty.token == token && duty.holder != null;
+    }
+
+    /** Carries out a command on a duty; null where it is none. */
+    Catalogue.Applied apply(Map<String, Object> command, long time, List<String> news) {
+        String name = Objects.toString(command.get("duty"));
+        String who = Objects.toString(command.get("who"));
+        long token = Catalogue.number(command, "token", 0);
+        Duty duty = duties.get(name);
+        switch (Objects.toString(command.get("do"))) {
+            case "acquire" -> {
+                return acquire(name, who, Catalogue.number(command, "span", 0), time, news);
+            }
+            case "hold" -> {
+                if (!holds(duty, who, token)) {
+                    return lost(name, duty, news);
+                }
+                duty.until = time + duty.span;
+                return told(name, duty, who, news);
+            }
+            case "release" -> {
+                if (duty != null) {
+                    duty.waiting.remove(who);
+                }
+                if (!holds(duty, who, token)) {
+                    return lost(name, duty, news);
+                }
+                news.add("duty-released " + name + " by " + who + " token " + token);
+                next(name, duty, time, news);
+                return told(name, duty, who, news);
+            }
+            case "record" -> {
+                if (!holds(duty, who, token)) {
+                    return lost(name, duty, news);
+                }
+                return record(name, duty, who, command, news);
+            }
+            default -> {
+                return null;
+            }
+        }
+    }
+
+    private static boolean holds(Duty duty, String who, long token) {
+        return duty != null && who.equals(duty.holder) && duty.token == token;
+    }
+
+    /** One who holds it already is told its token again; one who waits keeps its place. */
+    private Catalogue.Applied acquire(String name, String who, long span, long time, List<String> news) {
+        if (span <= 0 || who.isBlank() || name.isBlank()) {
+            throw new IllegalArgumentException("acquire needs duty, who and a span in milliseconds");
+        }
+        Duty duty = duties.computeIfAbsent(name, n -> new Duty());
+        if (!who.equals(duty.holder)) {
+            duty.span = duty.holder == null ? span : duty.span;
+            duty.waiting.put(who, time + span);  // a place that is kept is not moved
+            if (duty.holder == null) {
+                next(name, duty, time, news);
+            }
+        }
+        return told(name, duty, who, news);
+    }
+
+    /** The eldest who still waits has it now; nobody where none does. */
+    private void next(String name, Duty duty, long time, List<String> news) {
+        duty.waiting.values().removeIf(until -> until <= time);
+        duty.holder = null;
+        duty.rev = ++rev;
+        if (!duty.waiting.isEmpty()) {
+            duty.holder = duty.waiting.keySet().iterator().next();
+            duty.waiting.remove(duty.holder);
+            duty.token = ++tokens;
+            duty.until = time + duty.span;
+            news.add("duty-granted " + name + " to " + duty.holder + " token " + duty.token);
+        }
+    }
+
+    /** A step's id is recorded once; recorded again by whoever holds the duty it changes nothing. */
+    private Catalogue.Applied record(String name, Duty duty, String who, Map<String, Object> command, List<String> news) {
+        String step = Objects.toString(command.get("step"), null);
+        boolean again = step != null && duty.steps.contains(step);
+        if (!again) {
+            if (command.get("state") instanceof Map<?, ?> state) {
+                duty.state = new LinkedHashMap<>();
+                state.forEach((key, value) -> duty.state.put(key.toString(), value));
+            }
+            if (step != null) {
+                duty.steps.add(step);
+                if (duty.steps.size() > STEPS_KEPT) {
+                    duty.steps.remove(0);
+                }
+                news.add("duty-step " + name + " " + step + " by " + who + " token " + duty.token);
+            }
+            duty.rev = ++rev;
+        }
+        return new Catalogue.Applied(200, Map.of("duty", name, "token", duty.token, "again", again), news);
+    }
+
+    private Catalogue.Applied told(String name, Duty duty, String who, List<String> news) {
+        Map<String, Object> answer = new LinkedHashMap<>();
+        answer.put("duty", name);
+        answer.put("holder", duty.holder);
+        answer.put("token", who.equals(duty.holder) ? duty.token : 0);
+        answer.put("waits", new ArrayList<>(duty.waiting.keySet()).indexOf(who) + 1);
+        return new Catalogue.Applied(200, answer, news);
+    }
+
+    private static Catalogue.Applied lost(String name, Duty duty, List<String> news) {
+        Map<String, Object> answer = new LinkedHashMap<>();
+        answer.put("error", "duty " + name + " is not held with that token");
+        answer.put("holder", duty == null ? null : duty.holder);
+        return new Catalogue.Applied(409, answer, news);
+    }
+
+    /** Time has gone on: what is not renewed goes to the next who waits. */
+    void tick(long time, List<String> news) {
+        duties.forEach((name, duty) -> {
+            if (duty.holder != null && duty.until <= time) {
+                news.add("duty-lapsed " + name + " of " + duty.holder + " token " + duty.token);
+                next(name, duty, time, news);
+            }
+        });
+    }
+
+    /** Every lease and every place has its full term again. */
+    void reign(long time) {
+        for (Duty duty : duties.values()) {
+            duty.until = time + duty.span;
+            duty.waiting.replaceAll((who, until) -> time + duty.span);
+        }
+    }
+
+    /** As callers see one; null where nobody ever asked for it. */
+    Map<String, Object> shown(String name) {
+        Duty duty = duties.get(name);
+        if (duty == null) {
+            return null;
+        }
+        Map<String, Object> shown = new LinkedHashMap<>();
+        shown.put("duty", name);
+        shown.put("holder", duty.holder);
+        shown.put("token", duty.token);
+        shown.put("span", duty.span);
+        shown.put("waiting", List.copyOf(duty.waiting.keySet()));
+        shown.put("state", duty.state);
+        shown.put("steps", List.copyOf(duty.steps));
+        return shown;
+    }
+
+    /** A line with all duties that changed after that revision. */
+    Listing.Line since(long from) {
+        List<Map<String, Object>> news = duties.entrySet().stream().filter(each -> each.getValue().rev > from)
+                .map(each -> shown(each.getKey())).toList();
+        return new Listing.Line(rev, Json.text(Map.of("rev", rev, "duties", news)));
+    }
+
+    Map<String, Object> state() {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("tokens", tokens);
+        all.put("rev", rev);
+        Map<String, Object> each = new LinkedHashMap<>();
+        duties.forEach((name, duty) -> {
+            Map<String, Object> one = shown(name);
+            one.put("until", duty.until);
+            one.put("rev", duty.rev);
+            one.put("waiting", new LinkedHashMap<>(duty.waiting));
+            each.put(name, one);
+        });
+        all.put("duties", each);
+        return all;
+    }
+
+    /** What {@link #state} gave; null for a snapshot from before there were duties. */
+    void restore(Map<?, ?> state) {
+        duties.clear();
+        tokens = 0;
+        rev = 0;
+        if (state == null) {
+            return;
+        }
+        tokens = ((Number) state.get("tokens")).longValue();
+        rev = ((Number) state.get("rev")).longValue();
+        ((Map<?, ?>) state.get("duties")).forEach((name, value) -> {
+            Map<?, ?> one = (Map<?, ?>) value;
+            Duty duty = new Duty();
+            duty.holder = (String) one.get("holder");
+            duty.token = ((Number) one.get("token")).longValue();
+            duty.span = ((Number) one.get("span")).longValue();
+            duty.until = ((Number) one.get("until")).longValue();
+            duty.rev = ((Number) one.get("rev")).longValue();
+            ((Map<?, ?>) one.get("waiting")).forEach((who, until) ->
+                    duty.waiting.put(who.toString(), ((Number) until).longValue()));
+            ((Map<?, ?>) one.get("state")).forEach((key, val) -> duty.state.put(key.toString(), val));
+            ((List<?>) one.get("steps")).forEach(step -> duty.steps.add(step.toString()));
+            duties.put(name.toString(), duty);
+        });
+    }
+}
--- /dev/null
+++ b/registry/src/main/java/mastdrift/registry/Feed.java
@@ -0,0 +1,126 @@
+package mastdrift.registry;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
+import mastdrift.common.Clock;
+import mastdrift.common.Http;
+
+/** Watches of one list. A watcher is only ever behind by a revision, from which it is told what changed when it can take
+    it: nothing is queued for it. On its event loop but for {@link #changed}. */
+final class Feed {
+
+    private static final int GATHER_MILLIS = 5;  // changes that come within are one line
+    private static final int ALIVE_MILLIS = 2000;  // PROTOCOL: an empty line as long as nothing changes
+    private static final long SLOW_MICROS = 10_000_000;  // who takes nothing for so long is cut
+
+    private final class Watcher {
+        private final Http.Lines lines;
+        private long rev;
+        private long tookAt;
+
+        Watcher(Http.Lines lines, long rev) {
+            this.lines = lines;
+            this.rev = rev;
+            tookAt = clock.monotonic();
+        }
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final LongSupplier newest;
+    private final LongFunction<Listing.Line> since;
+    private final int most;
+    private final Set<Watcher> watchers = new HashSet<>();
+    private final AtomicBoolean asked = new AtomicBoolean();
+    private volatile int count;
+    private volatile long cut;
+    private volatile long told;
+
+    /** {@code since} gives the line of what changed after a revision; at most so many watch. */
+    Feed(EventLoop loop, Clock clock, LongSupplier newest, LongFunction<Listing.Line> since, int most) {
+        this.loop = loop;
+        this.clock = clock;
+        this.newest = newest;
+        this.since = since;
+        this.most = most;
+        loop.scheduleWithFixedDelay(this::alive, ALIVE_MILLIS, ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The list has changed; from any thread. */
+    void changed() {
+        if (asked.compareAndSet(false, true)) {
+            loop.schedule(this::tell, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    int count() {
+        return count;
+    }
+
+    /** Of watchers that took nothing for too long. */
+    long cut() {
+        return cut;
+    }
+
+    /** Of lines to all watchers together. */
+    long told() {
+        return told;
+    }
+
+    /** Answers with a watch from that revision on, or at once that there are too many. From the call's own loop. */
+    void watch(Http.Call call, long from) {
+        if (count >= most) {
+            call.json(503, "{\"error\":\"too many watches\"}", "Retry-After", "1");
+            return;
+        }
+        Http.Lines lines = call.lines();
+        loop.execute(() -> {
+            Listing.Line first = since.apply(from);
+            Watcher watcher = new Watcher(lines, first.rev());
+            lines.line(first.text());
+            watchers.add(watcher);
+            count = watchers.size();
+            lines.whenEnded(() -> loop.execute(() -> {
+                watchers.remove(watcher);
+                count = watchers.size();
+            }));
+            changed();  // what came between both looks
+        });
+    }
+
+    private void tell() {
+        asked.set(false);
+        long now = newest.getAsLong();
+        Map<Long, Listing.Line> lines = new HashMap<>();  // most are equally far behind
+        for (Watcher watcher : watchers) {
+            if (watcher.rev < now && watcher.lines.writable()) {
+                Listing.Line line = lines.computeIfAbsent(watcher.rev, since::apply);
+                watcher.lines.line(line.text());
+                watcher.rev = line.rev();
+                watcher.tookAt = clock.monotonic();
+                told++;
+            }
+        }
+    }
+
+    private void alive() {
+        long now = clock.monotonic();
+        for (Watcher watcher : Set.copyOf(watchers)) {
+            if (watcher.lines.writable()) {
+                watcher.lines.line("");
+                watcher.tookAt = now;
+            } else if (now - watcher.tookAt > SLOW_MICROS) {
+                watcher.lines.cut();
+                cut++;
+            }
+        }
+        changed();  // those who could take nothing then
+    }
+}
--- /dev/null
+++ b/registry/src/main/java/mastdrift/registry/Replica.java
@@ -0,0 +1,456 @@
+package mastdrift.registry;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import mastdrift.common.Clock;
+import mastdrift.common.Disk;
+import mastdrift.common.Http;
+import mastdrift.common.Json;
+import org.apache.ratis.RaftConfigKeys;
+import org.apache.ratis.client.RaftClient;
+import org.apache.ratis.client.RaftClientConfigKeys;
+import org.apache.ratis.conf.RaftProperties;
+import org.apache.ratis.grpc.GrpcConfigKeys;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
+import org.apache.ratis.protocol.RaftGroup;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.protocol.exceptions.ChecksumException;
+import org.apache.ratis.retry.RetryPolicies;
+import org.apache.ratis.rpc.SupportedRpcType;
+import org.apache.ratis.server.DivisionInfo;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.RaftServerConfigKeys;
+import org.apache.ratis.io.CorruptedFileException;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.util.SizeInBytes;
+import org.apache.ratis.util.TimeDuration;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One replica of the list service: its part of the replicated log, and the calls of agents, hosts and staff. */
+public final class Replica implements AutoCloseable {
+
+    /**
+     * What a replica is told.
+     *
+     * @param name its name, one of {@code peers}
+     * @param folder its files
+     * @param listen where it is called
+     * @param raft where it listens for the other replicas
+     * @param peers all replicas by name, this one too, and where the others reach each
+     * @param watchesMost so many watch at most
+     */
+    public record Setup(String name, Path folder, InetSocketAddress listen, InetSocketAddress raft, Map<String, Peers.Address> peers,
+            int watchesMost) { }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Replica.class);
+    private static final String CLUSTER = "springspar-registry";
+    private static final int ELECTION_LEAST_MILLIS = 400;
+    private static final int ELECTION_MOST_MILLIS = 800;
+    private static final int CALL_MILLIS = 1500;  // of one try within the replicas; who called hears then that it is not known
+    private static final int CALLS_AT_ONCE = 32;
+    private static final int CALLS_WAITING = 512;
+    private static final int TICK_MILLIS = 250;
+    private static final int MARK_MILLIS = 5000;
+    private static final int SNAPSHOT_EVERY = 20_000;
+
+    private final Setup setup;
+    private final Clock clock;
+    private final Catalogue catalogue;
+    private final RaftGroupId groupId = RaftGroupId.valueOf(
+            UUID.nameUUIDFromBytes(CLUSTER.getBytes(StandardCharsets.UTF_8)));
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final ThreadPoolExecutor calls = new ThreadPoolExecutor(CALLS_AT_ONCE, CALLS_AT_ONCE, 1, TimeUnit.MINUTES,
+            new ArrayBlockingQueue<>(CALLS_WAITING));
+    private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+    private final Feed feed;
+    private final Feed dutyFeed;
+    private final Disk disk;
+    private final Http http;
+    private final CountDownLatch over = new CountDownLatch(1);
+    private final Gauges gauges = new Gauges();
+    private volatile RaftServer server;  // null until it is known who this replica is
+    private volatile RaftClient client;
+    private volatile Identity identity;
+    private volatile boolean leads;
+    private boolean reigns;  // whether the log has heard of this leader; the ticker's
+    private long tickedAt;
+
+    /** Answers calls from now on, and takes part once {@link #begin} has found out who it is; throws IOException for an
+        address that can't be listened on. */
+    public Replica(Setup setup, Clock clock, Catalogue catalogue, Disk disk) throws IOException {
+        this.setup = setup;
+        this.clock = clock;
+        this.catalogue = catalogue;
+        this.disk = disk;
+        feed = new Feed(loops.next(), clock, catalogue::rev, catalogue::since, setup.watchesMost());
+        dutyFeed = new Feed(loops.next(), clock, catalogue::dutiesRev, catalogue::dutiesSince, setup.watchesMost());
+        gauges.put("registry_revision", "Newest revision that this replica has.", catalogue::rev)
+                .put("registry_entries", "Entries on the list.", catalogue::size)
+                .put("registry_entries_stale", "Entries whose leases are over and which are kept all the same.", catalogue::stale)
+                .put("registry_leads", "1 where this replica leads.", () -> leads ? 1 : 0)
+                .put("registry_watches", "Open watches.", feed::count)
+                .put("registry_watches_cut", "Watches cut because nothing was taken for 10 s.", feed::cut)
+                .put("registry_lines", "Lines told to watches.", feed::told)
+                .put("registry_calls_waiting", "Calls that wait for a thread.", () -> calls.getQueue().size());
+        http = Http.listen(loops, setup.listen(), this::handle);
+        LOG.info("listening on {}:{}", setup.listen().getHostString(), http.port());
+    }
+
+    /** Takes part; waits for as long as it is not certain who this replica is. A folder whose log or snapshot is spoilt is put
+        aside, and the replica comes back from its peers; alone, it throws the IOException that names the file. */
+    public void begin() throws IOException, InterruptedException {
+        Files.createDirectories(setup.folder());
+        Peers peers = new Peers(setup.name(), setup.peers());
+        Peers.Found found = peers.find(setup.folder(), disk, new SecureRandom());
+        try {
+            take(found);
+        } catch (IOException | CompletionException e) {
+            if (setup.peers().size() == 1 || !spoilt(e)) {
+                throw e;
+            }
+            LOG.info("folder-spoilt {}", e.toString());
+            Peers.aside(setup.folder(), "spoilt");
+            found = peers.find(setup.folder(), disk, new SecureRandom());
+            take(found);
+        }
+        if (found.joins()) {
+            peers.join(identity);
+        }
+        ticker.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        ticker.scheduleWithFixedDelay(this::mark, 0, MARK_MILLIS, TimeUnit.MILLISECONDS);
+        LOG.info("takes-part id={}", identity.id());
+    }
+
+    /** Whether it is the files that are at fault, and not what was asked for. */
+    private static boolean spoilt(Throwable fault) {
+        for (Throwable cause = fault; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ChecksumException || cause instanceof CorruptedFileException
+                    || cause instanceof IOException && String.valueOf(cause.getMessage()).contains(" is spoilt")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void take(Peers.Found found) throws IOException {
+        identity = found.identity();
+        List<RaftPeer> first = new ArrayList<>();
+        setup.peers().forEach((name, address) -> first.add(RaftPeer.newBuilder().setId(Identity.firstId(name))
+                .setAddress(address.raft()).build()));
+        RaftGroup group = RaftGroup.valueOf(groupId, first);
+        RaftProperties properties = properties();
+        Path state = setup.folder().resolve("raft");
+        boolean known = Files.isDirectory(state.resolve(groupId.getUuid().toString()));
+        RaftServer started = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(identity.id()))
+                .setGroup(found.joins() ? RaftGroup.valueOf(groupId) : group)
+                .setStateMachine(new RaftCatalogue(catalogue, disk, this::changed, this::leads)).setProperties(properties)
+                .setOption(known ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT).build();
+        try {
+            started.start();
+        } catch (IOException | RuntimeException e) {
+            started.close();
+            throw e;
+        }
+        server = started;
+        client = RaftClient.newBuilder().setProperties(properties).setRaftGroup(group)
+                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(8, TimeDuration.valueOf(150,
+                        TimeUnit.MILLISECONDS))).build();
+    }
+
+    /** This folder's mark grows, first here, then in the log: see {@link Identity}. */
+    private void mark() {
+        try {
+            Identity next = identity.marked();
+            next.write(setup.folder(), disk);
+            identity = next;
+            send(Catalogue.command("member", "name", next.name(), "id", next.id(), "mark", next.mark()));
+        } catch (IOException | RuntimeException e) {
+            LOG.info("mark-failed {}", e.toString());
+        }
+    }
+
+    private RaftProperties properties() {
+        RaftProperties properties = new RaftProperties();
+        RaftConfigKeys.Rpc.setType(properties, SupportedRpcType.GRPC);
+        GrpcConfigKeys.Server.setHost(properties, setup.raft().getHostString());
+        GrpcConfigKeys.Server.setPort(properties, setup.raft().getPort());
+        RaftServerConfigKeys.setStorageDir(properties, List.of(setup.folder().resolve("raft").toFile()));
+        RaftServerConfigKeys.Rpc.setTimeoutMin(properties, millis(ELECTION_LEAST_MILLIS));
+        RaftServerConfigKeys.Rpc.setTimeoutMax(properties, millis(ELECTION_MOST_MILLIS));
+        RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMin(properties, millis(ELECTION_LEAST_MILLIS));
+        RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMax(properties, millis(ELECTION_MOST_MILLIS));
+        RaftServerConfigKeys.Rpc.setRequestTimeout(properties, millis(CALL_MILLIS));
+        RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf("32MB"));
+        RaftServerConfigKeys.Log.setPreallocatedSize(properties, SizeInBytes.valueOf("64KB"));
+        RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(properties, true);
+        RaftServerConfigKeys.Log.setPurgeGap(properties, SNAPSHOT_EVERY / 4);
+        RaftServerConfigKeys.Log.Appender.setBufferByteLimit(properties, SizeInBytes.valueOf("7MB"));
+        GrpcConfigKeys.setMessageSizeMax(properties, SizeInBytes.valueOf("16MB"));
+        RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, true);
+        RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(properties, SNAPSHOT_EVERY);
+        RaftServerConfigKeys.Snapshot.setRetentionFileNum(properties, 2);
+        RaftClientConfigKeys.Rpc.setRequestTimeout(properties, millis(CALL_MILLIS));
+        return properties;
+    }
+
+    private static TimeDuration millis(long millis) {
+        return TimeDuration.valueOf(millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void changed() {
+        feed.changed();
+        dutyFeed.changed();
+    }
+
+    private void leads(boolean yes) {
+        leads = yes;
+    }
+
+    /** The leader's clock as entries of the log: first that it reigns, then what passed since the entry before. */
+    private void tick() {
+        try {
+            long now = clock.monotonic();
+            if (!leads) {
+                reigns = false;
+                return;
+            }
+            if (!reigns) {
+                send(Catalogue.command("reign", "term", info().getCurrentTerm()));
+                reigns = true;
+                tickedAt = now;
+                LOG.info("reigns term={}", info().getCurrentTerm());
+            } else {
+                long elapsed = (now - tickedAt) / 1000;
+                tickedAt = now;  // also if this tick is lost: time may pass too slowly, never twice
+                send(Catalogue.command("tick", "elapsed", elapsed));
+            }
+        } catch (IOException | RuntimeException e) {
+            LOG.info("tick-failed {}", e.toString());
+        }
+    }
+
+    private DivisionInfo info() throws IOException {
+        return server.getDivision(groupId).getInfo();
+    }
+
+    private Map<String, Object> send(Map<String, Object> command) throws IOException {
+        RaftClientReply reply = client.io().send(Message.valueOf(Json.text(command)));
+        if (!reply.isSuccess()) {
+            throw new IOException("not taken: " + reply.getException());
+        }
+        return Json.object(reply.getMessage().getContent().toByteArray());
+    }
+
+    private void handle(Http.Call call) throws IOException {
+        String path = call.path();
+        String method = call.method();
+        if (path.equals("/v1/endpoints") && method.equals("GET")) {
+            list(call);
+        } else if (path.equals("/v1/registry") && method.equals("GET")) {
+            call.json(200, Json.text(status()));
+        } else if (path.equals("/metrics") && method.equals("GET")) {
+            call.answer(200, "text/plain; version=0.0.4", gauges.text());
+        } else if (path.equals("/v1/backup") && method.equals("GET")) {
+            write(call, Catalogue.command("read", "what", "state"));
+        } else if (path.equals("/v1/restore") && method.equals("POST")) {
+            write(call, Catalogue.command("restore", "state", Json.object(call.body())));
+        } else if (path.equals("/v1/registry/join") && method.equals("POST")) {
+            join(call);
+        } else if (path.equals("/v1/entries") && method.equals("GET")) {
+            call.json(200, Json.text(Map.of("rev", catalogue.rev(), "entries", catalogue.shown())));
+        } else if (path.startsWith("/v1/entries/") && method.equals("GET")) {
+            write(call, Catalogue.command("read", "what", "entry", "name", path.substring("/v1/entries/".length())));
+        } else if (path.equals("/v1/renew") && method.equals("POST")) {
+            write(call, Catalogue.command("renew", "uids", Json.object(call.body()).get("uids")));
+        } else if (path.startsWith("/v1/entries/") && path.endsWith("/drain") && method.equals("POST")) {
+            String uid = path.substring("/v1/entries/".length(), path.length() - "/drain".length());
+            write(call, conditions(call, Catalogue.command("drain", "uid", uid)));
+        } else if (path.startsWith("/v1/entries/") && method.equals("PUT")) {
+            put(call, path.substring("/v1/entries/".length()));
+        } else if (path.startsWith("/v1/entries/") && method.equals("DELETE")) {
+            write(call, conditions(call, Catalogue.command("remove", "uid", path.substring("/v1/entries/".length()), "now",
+                    "1".equals(call.query("now")))));
+        } else if (path.equals("/v1/duties") && method.equals("GET")) {
+            if ("1".equals(call.query("watch"))) {
+                dutyFeed.watch(call, call.number("from", 0));
+            } else {
+                call.json(200, catalogue.dutiesSince(0).text());
+            }
+        } else if (path.startsWith("/v1/duties/") && method.equals("GET")) {
+            write(call, Catalogue.command("read", "what", "duty", "name", path.substring("/v1/duties/".length())));
+        } else if (path.startsWith("/v1/duties/") && method.equals("POST")) {
+            duty(call, path.substring("/v1/duties/".length()).split("/"));
+        } else {
+            call.json(404, "{\"error\":\"no such call\"}");
+        }
+    }
+
+    /** {@code /v1/duties/NAME/acquire}, {@code hold}, {@code release}, {@code record}: the body has the rest of the command. */
+    private void duty(Http.Call call, String[] parts) throws IOException {
+        if (parts.length != 2 || !List.of("acquire", "hold", "release", "record").contains(parts[1])) {
+            call.json(404, "{\"error\":\"no such call\"}");
+            return;
+        }
+        Map<String, Object> command = Catalogue.command(parts[1], "duty", parts[0]);
+        Json.object(call.body()).forEach(command::putIfAbsent);
+        write(call, command);
+    }
+
+    /** Discovery. A caller that has a newer list than this replica says so, and is sent elsewhere. */
+    private void list(Http.Call call) throws IOException {
+        String least = call.header("X-Least-Revision");
+        long rev = catalogue.rev();
+        if (least != null && Long.parseLong(least) > rev) {
+            call.json(412, Json.text(Map.of("error", "this replica is behind", "rev", rev)));
+        } else if ("1".equals(call.query("watch"))) {
+            feed.watch(call, call.number("from", 0));
+        } else if ("1".equals(call.query("consistent"))) {
+            write(call, Catalogue.command("read", "what", "list"));
+        } else {
+            call.json(200, catalogue.since(0).text());
+        }
+    }
+
+    /** A replica of a name that is known comes back under a new id: it takes the old one's place. */
+    private void join(Http.Call call) throws IOException {
+        Map<String, Object> body = Json.object(call.body());
+        String id = body.get("id").toString();
+        later(call, () -> {
+            List<RaftPeer> next = new ArrayList<>();
+            for (RaftPeer peer : server.getDivision(groupId).getGroup().getPeers()) {
+                if (!Identity.nameOf(peer.getId().toString()).equals(Identity.nameOf(id))) {
+                    next.add(peer);
+                }
+            }
+            next.add(RaftPeer.newBuilder().setId(id).setAddress(body.get("address").toString()).build());
+            RaftClientReply reply = client.admin().setConfiguration(next);
+            LOG.info("replica-replaced id={} done={}", id, reply.isSuccess());
+            call.json(reply.isSuccess() ? 200 : 503, Json.text(Map.of("ids", next.stream()
+                    .map(peer -> peer.getId().toString()).toList())));
+        });
+    }
+
+    private void put(Http.Call call, String uid) throws IOException {
+        Map<String, Object> entry = new LinkedHashMap<>(Json.object(call.body()));
+        entry.put("uid", uid);
+        Object span = entry.remove("lease_ms");
+        Entry.of(entry);  // what is wrong is told before the log is asked
+        write(call, conditions(call, Catalogue.command("put", "entry", entry, "lease_ms", span == null ? 0 : span)));
+    }
+
+    /** What a write asks for besides: its entry's revision, and the duty and token for which it is made. */
+    private static Map<String, Object> conditions(Http.Call call, Map<String, Object> command) {
+        if (call.query("token") != null) {
+            command.put("duty", call.query("duty"));
+            command.put("token", call.number("token", 0));
+        }
+        if (call.query("if_rev") != null) {
+            command.put("if_rev", call.number("if_rev", 0));
+        }
+        return command;
+    }
+
+    /** Through the log. Reads that must see every write go this way too: Ratis 3.2 answers its own linearizable reads without
+        asking a majority where its commit index was confirmed before, so that a leader that was frozen answered with what
+        others had since changed ({@code rig/plans/registry-leader.toml} found it). */
+    private void write(Http.Call call, Map<String, Object> command) throws IOException {
+        later(call, () -> {
+            Map<String, Object> applied = send(command);
+            call.json(((Number) applied.get("status")).intValue(), Json.text(applied.get("answer")));
+        });
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    /** Off the loop, for it waits for the other replicas; at once refused where no leader is known or too many wait. */
+    private void later(Http.Call call, Work work) throws IOException {
+        if (server == null || client == null || info().getLeaderId() == null) {
+            call.json(503, "{\"error\":\"no leader\"}", "Retry-After", "0.5");
+            return;
+        }
+        try {
+            calls.execute(() -> {
+                try {
+                    work.run();
+                } catch (IOException | RuntimeException e) {
+                    call.json(504, Json.text(Map.of("error", "not known whether it was done: " + e.getMessage())));
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            call.json(503, "{\"error\":\"too many calls\"}", "Retry-After", "0.5");
+        }
+    }
+
+    /** What staff see of this replica. */
+    Map<String, Object> status() throws IOException {
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("name", setup.name());
+        status.put("formed", server != null && client != null);
+        if (server != null) {
+            RaftPeerId leader = info().getLeaderId();
+            status.put("id", identity.id());
+            status.put("leader", leader == null ? null : Identity.nameOf(leader.toString()));
+            status.put("term", info().getCurrentTerm());
+            status.put("applied", info().getLastAppliedIndex());
+            status.put("ids", server.getDivision(groupId).getGroup().getPeers().stream()
+                    .map(peer -> peer.getId().toString()).sorted().toList());
+        }
+        status.put("members", catalogue.members());
+        status.put("rev", catalogue.rev());
+        status.put("entries", catalogue.size());
+        status.put("stale", catalogue.stale());
+        status.put("watches", feed.count());
+        status.put("watches_cut", feed.cut());
+        status.put("lines_told", feed.told());
+        return status;
+    }
+
+    /** Waits for {@link #close}. */
+    public void await() throws InterruptedException {
+        over.await();
+    }
+
+    /** Where it is called, for those who asked for any port. */
+    public int port() {
+        return http.port();
+    }
+
+    @Override
+    public void close() throws IOException {
+        ticker.shutdownNow();
+        calls.shutdownNow();
+        http.close();
+        if (client != null) {
+            client.close();
+            server.close();
+        }
+        over.countDown();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
