--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/AcknowledgedCheck.java
@@ -0,0 +1,51 @@
+package mastdrift.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mastdrift.rig.History.Event;
+
+/** No acknowledged write is lost: of each entry the last read (event {@code final}) holds the newest write that was
+    acknowledged, or one of which nobody heard; and no revision was given twice. */
+final class AcknowledgedCheck implements Check {
+
+    @Override
+    public Verdict look(History history) {
+        List<String> breaches = new ArrayList<>();
+        Map<String, Event> newest = new HashMap<>();
+        Map<String, Set<String>> unheard = new HashMap<>();
+        Map<Long, Event> byRevision = new HashMap<>();
+        for (Event event : history.events()) {
+            if (!event.op().equals("put") && !event.op().equals("cas")) {
+                continue;
+            }
+            String key = event.text("key");
+            if (!event.known()) {
+                unheard.computeIfAbsent(key, k -> new HashSet<>()).add(event.text("value"));
+            } else if (Boolean.TRUE.equals(event.facts().get("ok"))) {
+                Event other = byRevision.put(event.number("rev", 0), event);
+                if (other != null) {
+                    breaches.add("revision " + event.number("rev", 0) + " was given to " + other.text("value") + " and to "
+                            + event.text("value"));
+                }
+                newest.merge(key, event, (a, b) -> a.number("rev", 0) > b.number("rev", 0) ? a : b);
+            }
+        }
+        Map<String, Event> last = new HashMap<>();
+        history.events("final").forEach(event -> last.put(event.text("key"), event));
+        newest.forEach((key, write) -> {
+            Event read = last.get(key);
+            if (last.isEmpty()) {
+                breaches.add("there is no last read");
+            } else if (read == null || !write.text("value").equals(read.text("value"))
+                    && !unheard.getOrDefault(key, Set.of()).contains(read.text("value"))) {
+                breaches.add("acknowledged write " + write.text("value") + " of " + key + ", revision " + write.number("rev", 0)
+                        + ", is lost: there is " + (read == null ? "nothing" : read.text("value")));
+            }
+        });
+        return Verdict.of("acknowledged", breaches);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Check.java
@@ -0,0 +1,27 @@
+package mastdrift.rig;
+
+import java.util.List;
+
+/** Holds a history against something that has to be true of it. */
+interface Check {
+
+    /** What a history says; {@code undecided} where the search for an answer ran out of its budget. */
+    record Verdict(String check, List<String> breaches, boolean undecided) {
+
+        static Verdict of(String check, List<String> breaches) {
+            return new Verdict(check, breaches, false);
+        }
+
+        boolean held() {
+            return breaches.isEmpty() && !undecided;
+        }
+
+        @Override
+        public String toString() {
+            return check + ": " + (undecided ? "undecided, the search ran out of its budget" : breaches.isEmpty() ? "held"
+                    : breaches.size() + " broken, first: " + breaches.get(0));
+        }
+    }
+
+    Verdict look(History history);
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Draw.java
@@ -0,0 +1,61 @@
+package mastdrift.rig;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.regex.Pattern;
+import mastdrift.common.Range;
+import mastdrift.lab.Dice;
+
+/** The faults of one seed: the same plan, names and seed give the same faults, whatever the machine. */
+final class Draw {
+
+    private Draw() { }
+
+    static List<Fault> faults(RigPlan plan, List<String> names, long seed) {
+        List<Fault> faults = new ArrayList<>();
+        for (int t = 0; t < plan.faults().size(); t++) {
+            RigPlan.Trouble trouble = plan.faults().get(t);
+            Dice dice = new Dice(seed, plan.name() + "#" + t);
+            for (int i = 0; i < trouble.times(); i++) {
+                faults.add(fault(faults.size(), trouble, names, dice));
+            }
+        }
+        return faults;
+    }
+
+    private static Fault fault(int id, RigPlan.Trouble trouble, List<String> names, Dice dice) {
+        long at = millis(trouble.atS(), dice);
+        long span = millis(trouble.forS(), dice);
+        double size = dice.in(trouble.size());
+        boolean link = trouble.kind().link;
+        String process = link ? trouble.from() : trouble.process();
+        List<String> first = process.equals(Stage.LEADER) ? List.of(process) : matching(names, process);
+        List<String> chosen = trouble.pick() == 0 ? first : some(first, trouble.pick(), dice);
+        return new Fault(id, trouble.kind(), at, span, chosen, link ? matching(names, trouble.to()) : List.of(),
+                trouble.way(), size, trouble.spread(), trouble.back(), trouble.when(), trouble.heal());
+    }
+
+    private static long millis(Range seconds, Dice dice) {
+        return Math.round(dice.in(seconds) * 1000);
+    }
+
+    private static List<String> some(List<String> all, int count, Dice dice) {
+        List<String> shuffled = new ArrayList<>(all);
+        Collections.shuffle(shuffled, new Random(dice.below(Integer.MAX_VALUE)));
+        List<String> some = new ArrayList<>(shuffled.subList(0, Math.min(count, shuffled.size())));
+        Collections.sort(some);
+        return some;
+    }
+
+    /** Those that the pattern names, in which a star stands for anything and a bar for or. */
+    static List<String> matching(List<String> names, String pattern) {
+        StringBuilder expression = new StringBuilder();
+        for (char c : pattern.toCharArray()) {
+            expression.append(c == '*' ? ".*" : c == '|' ? "|" : Pattern.quote(String.valueOf(c)));
+        }
+        Pattern compiled = Pattern.compile(expression.toString());
+        return names.stream().filter(name -> compiled.matcher(name).matches()).toList();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Hooked.java
@@ -0,0 +1,162 @@
+package mastdrift.rig;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import mastdrift.common.Clock;
+import mastdrift.common.Disk;
+import mastdrift.common.Http;
+import mastdrift.registry.Agent;
+import mastdrift.registry.Catalogue;
+import mastdrift.registry.Listing;
+import mastdrift.registry.Peers;
+import mastdrift.registry.Replica;
+
+/** Starts a process of ours with the rig's clock and disk in place of the machine's, which a file of hooks makes wrong while
+    it runs; and, where asked, in a variant that is broken on purpose. */
+public final class Hooked {
+
+    private static final int WATCHES_MOST = 2000;
+
+    private Hooked() { }
+
+    /** Arguments: file of hooks, variant or {@code none}, then {@code registry name folder listen raft name=peer...} or
+        {@code agent folder listen replica...}. */
+    public static void main(String[] args) throws Exception {
+        mastdrift.registry.Main.logToOutput();
+        mastdrift.registry.Main.endOnFaults();
+        Hooks hooks = new Hooks(Path.of(args[0]));
+        List<String> rest = Arrays.asList(args).subList(3, args.length);
+        if (args[2].equals("registry")) {
+            Map<String, Peers.Address> peers = new LinkedHashMap<>();
+            rest.subList(4, rest.size()).forEach(peer -> peers.put(peer.split("=")[0],
+                    Peers.Address.of(peer.split("=")[1])));
+            Replica replica = new Replica(new Replica.Setup(rest.get(0), Path.of(rest.get(1)), Http.address(rest.get(2)),
+                    Http.address(rest.get(3)), peers, WATCHES_MOST), hooks, variant(args[1], hooks), hooks.disk());
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    replica.close();
+                } catch (IOException e) {
+                    System.err.println(e);
+                }
+            }));
+            replica.begin();
+        } else {
+            Agent agent = new Agent(new Agent.Setup(Path.of(rest.get(0)), Http.address(rest.get(1)),
+                    new ArrayList<>(rest.subList(2, rest.size())).stream().map(Http::address).toList()), hooks, hooks.disk());
+            Runtime.getRuntime().addShutdownHook(new Thread(agent::close));
+        }
+        Thread.currentThread().join();
+    }
+
+    /** What makes this process's clock and disk wrong: a file with {@code disk full}, {@code jump MILLIS} or {@code rate R}
+        on its lines, looked at whenever time is asked. */
+    private static final class Hooks implements Clock {
+
+        private static final long LOOK_NANOS = 20_000_000;
+
+        private final Path file;
+        private long lookedAt;
+        private double rate = 1;
+        private long jump;
+        private boolean full;
+        private long real = System.nanoTime();  // as far as the wrong clock has been reckoned
+        private double shown = real;
+
+        Hooks(Path file) {
+            this.file = file;
+        }
+
+        private synchronized void look() {
+            long now = System.nanoTime();
+            shown += (now - real) * rate;
+            real = now;
+            if (now - lookedAt < LOOK_NANOS) {
+                return;
+            }
+            lookedAt = now;
+            rate = 1;
+            jump = 0;
+            full = false;
+            try {
+                for (String line : Files.exists(file) ? Files.readAllLines(file, StandardCharsets.UTF_8) : List.<String>of()) {
+                    String[] words = line.split(" ");
+                    switch (words[0]) {
+                        case "disk" -> full = true;
+                        case "jump" -> jump = (long) Double.parseDouble(words[1]);
+                        case "rate" -> rate = Double.parseDouble(words[1]);
+                        default -> { }
+                    }
+                }
+            } catch (IOException e) {
+                System.err.println("hooks: " + e);
+            }
+        }
+
+        @Override
+        public synchronized long monotonic() {
+            look();
+            return (long) (shown / 1000);
+        }
+
+        @Override
+        public synchronized long wall() {
+            look();
+            return System.currentTimeMillis() + jump;
+        }
+
+        Disk disk() {
+            return new Disk() {
+                @Override
+                protected void put(FileChannel to, ByteBuffer all) throws IOException {
+                    look();
+                    if (full) {
+                        throw new IOException("No space left on device (by the rig)");
+                    }
+                    super.put(to, all);
+                }
+            };
+        }
+    }
+
+    /** Broken on purpose, each in one way that a checker has to find. */
+    private static Catalogue variant(String name, Clock clock) {
+        return switch (name) {
+            case "none" -> new Catalogue();
+            case "revision-reused" -> new Catalogue() {
+                private boolean again;
+
+                @Override
+                protected long nextRevision() {
+                    again = !again && rev() % 10 == 9;
+                    return again ? rev() : super.nextRevision();
+                }
+            };
+            case "lease-by-own-clock" -> new Catalogue() {
+                private final long began = clock.wall();
+                private long logTime = -1;
+
+                @Override
+                protected boolean lapses(String uid, long until) {
+                    logTime = logTime < 0 ? ((Number) state().get("time")).longValue() : logTime;
+                    return until <= logTime + clock.wall() - began;
+                }
+            };
+            case "watch-skips-on-resume" -> new Catalogue() {
+                @Override
+                public synchronized Listing.Line since(long from) {
+                    return super.since(from > 0 && from + 2 < rev() ? from + 2 : from);
+                }
+            };
+            default -> throw new IllegalArgumentException("no variant " + name);
+        };
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Lists.java
@@ -0,0 +1,123 @@
+package mastdrift.rig;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import mastdrift.common.Http;
+import mastdrift.common.Json;
+
+/** The stand-in for the platform's discovery (PROTOCOL, "Discovery"): one address for each gateway, at which hosts have the
+    addresses of that gateway's links. On its event loop alone. */
+final class Lists implements AutoCloseable {
+
+    private static final int ALIVE_SECONDS = 2;
+
+    /** A host as the list has it; the address is each gateway's own. */
+    record Entry(String uid, String zone, String state, long bootMs, long rev) { }
+
+    /** How one gateway reaches a host. */
+    interface Reach {
+        String endpoint(String gateway, String host);
+    }
+
+    private record Watcher(String gateway, Http.Lines lines) { }
+
+    private final EventLoop loop;
+    private final Reach reach;
+    private final History history;
+    private final Map<String, Entry> entries = new TreeMap<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private final List<Http> servers = new ArrayList<>();
+    private long rev;
+
+    Lists(EventLoop loop, Reach reach, History history) {
+        this.loop = loop;
+        this.reach = reach;
+        this.history = history;
+        loop.scheduleWithFixedDelay(() -> watchers.forEach(watcher -> watcher.lines.line("")), ALIVE_SECONDS, ALIVE_SECONDS,
+                TimeUnit.SECONDS);
+    }
+
+    /** Answers that gateway there. */
+    void serve(String gateway, InetSocketAddress at) throws IOException {
+        servers.add(Http.listen(loop, at, call -> handle(gateway, call)));
+    }
+
+    /** A change, told to all that watch. */
+    void put(String uid, String zone, String state, long bootMs) {
+        loop.submit(() -> {
+            rev++;
+            Entry entry = new Entry(uid, zone, state, bootMs, rev);
+            entries.put(uid, entry);
+            long now = History.now();
+            history.add(now, now, "discovery", "listed", Map.of("host", uid, "state", state, "rev", rev));
+            for (Watcher watcher : watchers) {
+                watcher.lines.line(list(watcher.gateway, rev, false, List.of(entry)));
+            }
+        }).syncUninterruptibly();
+    }
+
+    /** The whole list as a gateway has it. */
+    Map<String, Object> whole(String gateway) {
+        return loop.submit(() -> object(gateway, rev, true, present())).syncUninterruptibly().getNow();
+    }
+
+    private List<Entry> present() {
+        return entries.values().stream().filter(entry -> !entry.state.equals("terminated")).toList();
+    }
+
+    private void handle(String gateway, Http.Call call) {
+        if (!call.path().equals("/v1/endpoints")) {
+            call.answer(404, "text/plain", "not known here\n");
+        } else if (!"1".equals(call.query("watch"))) {
+            call.json(200, list(gateway, rev, true, present()));
+        } else {
+            long from = call.number("from", 0);
+            Http.Lines lines = call.lines();
+            boolean whole = from == 0 || from > rev;
+            lines.line(list(gateway, rev, whole, whole ? present()
+                    : entries.values().stream().filter(entry -> entry.rev > from).toList()));
+            Watcher watcher = new Watcher(gateway, lines);
+            watchers.add(watcher);
+            lines.whenEnded(() -> watchers.remove(watcher));
+        }
+    }
+
+    private String list(String gateway, long at, boolean all, List<Entry> of) {
+        return Json.text(object(gateway, at, all, of));
+    }
+
+    private Map<String, Object> object(String gateway, long at, boolean all, List<Entry> of) {
+        Map<String, Object> list = new LinkedHashMap<>();
+        list.put("rev", at);
+        list.put("all", all);
+        list.put("targets", of.stream().map(entry -> target(entry.uid, reach.endpoint(gateway, entry.uid), entry.zone,
+                entry.state, entry.bootMs)).toList());
+        return list;
+    }
+
+    /** An entry as the protocol has it. */
+    static Map<String, Object> target(String uid, String endpoint, String zone, String state, long bootMs) {
+        Map<String, Object> target = new LinkedHashMap<>();
+        target.put("uid", uid);
+        target.put("endpoint", endpoint);
+        target.put("az", zone);
+        target.put("model", "std");
+        target.put("pod_group", 0);
+        target.put("state", state);
+        target.put("capacity_hint", 1.0);
+        target.put("boot_ms", bootMs);
+        return target;
+    }
+
+    @Override
+    public void close() {
+        servers.forEach(Http::close);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Load.java
@@ -0,0 +1,344 @@
+package mastdrift.rig;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import mastdrift.lab.Dice;
+
+/** Open-loop clients: requests come when their seed says, whether earlier ones were answered or not, and a request's time
+    counts from when it was to be sent. A front deals them out among the gateways that say they are ready. On its event loop
+    alone. */
+final class Load {
+
+    /** A class of requests as clients see it. */
+    private record Type(String name, double share, boolean keyed, boolean safe) { }
+
+    private static final List<Type> TYPES = List.of(new Type("leitura", 0.6, true, false),
+            new Type("fechamento", 0.2, false, false), new Type("consulta", 0.2, false, true));
+    static final int DEADLINE_MILLIS = 670;
+    /** A client that has heard nothing for so long beyond its deadline never will. */
+    static final int GIVE_UP_MILLIS = 8000;
+    private static final int READY_EVERY_MILLIS = 200;
+    private static final int READY_WITHIN_MILLIS = 1500;
+    private static final int ANSWER_MOST = 128 << 10;
+
+    private final EventLoop loop;
+    private final History history;
+    private final Dice dice;
+    private final double rate;
+    private final int keys;
+    private final Map<String, Target> targets = new HashMap<>();
+    private final CountDownLatch over = new CountDownLatch(1);
+    private long until;
+    private long next;  // when the next request is to be sent, on the history's clock
+    private long sent;
+    private int out;
+    private boolean closed;
+
+    Load(EventLoop loop, Map<String, InetSocketAddress> gateways, double rate, int keys, long seed, History history) {
+        this.loop = loop;
+        this.history = history;
+        this.rate = rate;
+        this.keys = keys;
+        dice = new Dice(seed, "load");
+        gateways.forEach((name, at) -> targets.put(name, new Target(name, at)));
+    }
+
+    /** Waits until all gateways say they are ready; false if that takes too long. */
+    boolean ready(int seconds) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        loop.execute(() -> targets.values().forEach(Target::look));
+        while (System.nanoTime() < end) {
+            if (loop.submit(() -> targets.values().stream().allMatch(target -> target.ready)).syncUninterruptibly().getNow()) {
+                return true;
+            }
+            Thread.sleep(20);
+        }
+        return false;
+    }
+
+    /** Sends from now on. */
+    void start(long micros) {
+        loop.execute(() -> {
+            next = History.now();
+            until = next + micros;
+            tick();
+        });
+    }
+
+    /** Waits for the last answer. */
+    void await() throws InterruptedException {
+        over.await();
+        loop.submit(() -> {
+            closed = true;
+            targets.values().forEach(Target::close);
+        }).syncUninterruptibly();
+    }
+
+    private void tick() {
+        long now = History.now();
+        while (next <= now && next < until) {
+            new Shot(next).send(0);
+            next += Math.round(dice.exponential(1e6 / rate));
+        }
+        if (next < until) {
+            loop.schedule(this::tick, Math.max(1, next - now), TimeUnit.MICROSECONDS);
+        } else if (out == 0) {
+            over.countDown();
+        } else {
+            loop.schedule(this::tick, 20, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private Target choose() {
+        List<Target> in = targets.values().stream().filter(target -> target.ready).toList();
+        return in.isEmpty() ? null : in.get(dice.below(in.size()));
+    }
+
+    /** A gateway as the front sees it. */
+    private final class Target {
+
+        private final String name;
+        private final InetSocketAddress at;
+        private final Deque<Channel> idle = new ArrayDeque<>();
+        private boolean ready;
+
+        Target(String name, InetSocketAddress at) {
+            this.name = name;
+            this.at = at;
+        }
+
+        /** Asks whether it is ready, again and again. */
+        void look() {
+            if (closed) {
+                return;
+            }
+            boolean[] yes = {false};
+            ChannelFuture dialled = dial(new SimpleChannelInboundHandler<FullHttpResponse>() {
+                @Override
+                protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+                    yes[0] = answer.status().code() == 200;
+                    context.close();
+                }
+
+                @Override
+                public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                    context.close();
+                }
+            });
+            Channel channel = dialled.channel();
+            dialled.addListener(done -> {
+                if (done.isSuccess()) {
+                    FullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/ready");
+                    ask.headers().set(HttpHeaderNames.HOST, "front");
+                    channel.writeAndFlush(ask);
+                }
+            });
+            loop.schedule(() -> channel.close(), READY_WITHIN_MILLIS, TimeUnit.MILLISECONDS);
+            channel.closeFuture().addListener(ended -> {
+                ready = yes[0];
+                loop.schedule(this::look, READY_EVERY_MILLIS, TimeUnit.MILLISECONDS);
+            });
+        }
+
+        ChannelFuture dial(SimpleChannelInboundHandler<FullHttpResponse> handler) {
+            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 3000)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_MOST), handler);
+                        }
+                    }).connect(at);
+        }
+
+        void close() {
+            idle.forEach(Channel::close);
+        }
+    }
+
+    /** One request. */
+    private final class Shot {
+
+        private final long due;
+        private final Type type;
+        private final String trace;
+        private final String key;
+        private Target target;
+        private boolean written;
+        private boolean over;
+        private Channel channel;
+
+        Shot(long due) {
+            this.due = due;
+            double at = dice.unit();
+            type = at < TYPES.get(0).share ? TYPES.get(0) : at < TYPES.get(0).share + TYPES.get(1).share ? TYPES.get(1)
+                    : TYPES.get(2);
+            trace = String.format("%016x", ++sent);
+            key = String.format("%032x", sent);
+            out++;
+            loop.schedule(() -> end("unanswered", 0, null), DEADLINE_MILLIS + GIVE_UP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        /** Of so many tries: one that met no gateway, or a connection that the gateway was just closing, is made again. */
+        void send(int tries) {
+            target = choose();
+            if (target == null || tries > 3) {
+                end("nobody", 0, null);
+                return;
+            }
+            Channel kept = target.idle.poll();
+            while (kept != null && !kept.isActive()) {
+                kept = target.idle.poll();
+            }
+            if (kept != null) {
+                kept.pipeline().get(Answers.class).take(this, true);
+                return;
+            }
+            Answers answers = new Answers();
+            ChannelFuture dialled = target.dial(answers);
+            dialled.addListener(done -> {
+                if (done.isSuccess()) {
+                    answers.take(this, false);
+                } else if (!over) {
+                    target.ready = false;
+                    send(tries + 1);
+                }
+            });
+        }
+
+        void write(Channel to) {
+            channel = to;
+            ByteBuf body = type.safe ? Unpooled.EMPTY_BUFFER : Unpooled.copiedBuffer("x".repeat(200), StandardCharsets.UTF_8);
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, type.safe ? HttpMethod.GET
+                    : HttpMethod.POST, "/api", body);
+            request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Trace-Id", trace)
+                    .set("X-Qos", type.name).set("X-Object", Integer.toHexString(dice.below(keys)))
+                    .set("X-Expires-In-Ms", DEADLINE_MILLIS);
+            if (type.keyed) {
+                request.headers().set("Idempotency-Key", key);
+            }
+            if (!type.safe) {
+                request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            }
+            to.writeAndFlush(request).addListener(done -> written = done.isSuccess());
+        }
+
+        /** The connection ended with no whole answer. */
+        void cut(boolean reused) {
+            if (over) {
+                return;
+            }
+            if (reused || !written) {
+                send(1);
+            } else {
+                end("lost", 0, null);
+            }
+        }
+
+        void answered(FullHttpResponse answer) {
+            int status = answer.status().code();
+            String text = answer.content().toString(StandardCharsets.UTF_8);
+            String outcome = status == 200 ? text.equals(StandInHost.body(trace)) ? "served" : "foreign"
+                    : status == 429 || status == 503 ? "refused" : "failed";
+            end(outcome, status, answer.headers().get("Retry-After"));
+        }
+
+        private void end(String outcome, int status, String retryAfter) {
+            if (over) {
+                return;
+            }
+            over = true;
+            out--;
+            Map<String, Object> facts = new HashMap<>();
+            facts.put("outcome", outcome);
+            facts.put("gateway", target == null ? "" : target.name);
+            facts.put("class", type.name);
+            facts.put("trace", trace);
+            facts.put("status", status);
+            if (retryAfter != null) {
+                facts.put("retry_after", retryAfter);
+            }
+            long now = History.now();
+            history.add(due, now, "clients", "request", facts);
+            if (outcome.equals("unanswered") && channel != null) {
+                channel.close();
+            }
+        }
+    }
+
+    /** One connection: a request at a time. */
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private Shot shot;
+        private boolean reused;
+        private Channel channel;
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            channel = context.channel();
+        }
+
+        void take(Shot next, boolean used) {
+            shot = next;
+            reused = used;
+            next.write(channel);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+            Shot done = shot;
+            shot = null;
+            if (done == null) {
+                context.close();
+                return;
+            }
+            done.answered(answer);
+            if (HttpUtil.isKeepAlive(answer) && !closed) {
+                done.target.idle.push(context.channel());
+            } else {
+                context.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (shot != null) {
+                Shot lost = shot;
+                shot = null;
+                lost.cut(reused);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/LogWatch.java
@@ -0,0 +1,55 @@
+package mastdrift.rig;
+
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** Looks for a line in logs that grow: each call looks at what has come since the one before. */
+final class LogWatch {
+
+    private final Pattern pattern;
+    private final Map<Path, Long> read = new HashMap<>();
+
+    /** What stands in the logs by now does not count. */
+    LogWatch(String expression, List<Path> logs) {
+        pattern = Pattern.compile(expression);
+        logs.forEach(log -> read.put(log, size(log)));
+    }
+
+    private static long size(Path log) {
+        try {
+            return Files.exists(log) ? Files.size(log) : 0;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Whether it has been seen since. */
+    boolean seen() {
+        for (Map.Entry<Path, Long> each : read.entrySet()) {
+            if (size(each.getKey()) <= each.getValue()) {
+                continue;
+            }
+            try (RandomAccessFile log = new RandomAccessFile(each.getKey().toFile(), "r")) {
+                log.seek(each.getValue());
+                byte[] fresh = new byte[(int) (log.length() - each.getValue())];
+                log.readFully(fresh);
+                String text = new String(fresh, StandardCharsets.UTF_8);
+                int whole = text.lastIndexOf('\n') + 1;
+                each.setValue(each.getValue() + text.substring(0, whole).getBytes(StandardCharsets.UTF_8).length);
+                if (text.substring(0, whole).lines().anyMatch(line -> pattern.matcher(line).find())) {
+                    return true;
+                }
+            } catch (IOException e) {
+                return false;  // it has been taken away with its folder
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Play.java
@@ -0,0 +1,175 @@
+package mastdrift.rig;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import mastdrift.common.Http;
+import mastdrift.common.Json;
+import mastdrift.lab.Dice;
+import org.HdrHistogram.Histogram;
+
+/** One play of a plan with one seed: starts all, lets clients come and faults happen, ends all, and judges the history. */
+final class Play {
+
+    /** What a play showed. */
+    record Outcome(String plan, long seed, List<Check.Verdict> verdicts, Map<String, Object> figures) {
+
+        boolean held() {
+            return verdicts.stream().allMatch(Check.Verdict::held);
+        }
+    }
+
+    private static final int READY_SECONDS = 120;
+
+    private Play() { }
+
+    /** Leaves all files in the folder; plays side by side have lanes of their own. Throws IllegalStateException where the play itself could not be played. */
+    static Outcome of(RigPlan plan, long seed, List<Fault> faults, Stage.Setting setting, int lane, Path folder)
+            throws IOException, InterruptedException {
+        Program.delete(folder);
+        History history = new History();
+        List<String> crashed;
+        Map<String, Object> figures = new LinkedHashMap<>();
+        try (Stage stage = new Stage(plan, seed, setting, lane, folder, history);
+                Saboteur saboteur = new Saboteur(stage, history, seed)) {
+            stage.start();
+            Load load = load(plan, seed, stage, history);
+            if (load != null && !load.ready(READY_SECONDS)) {
+                throw new IllegalStateException("gateways were not ready within " + READY_SECONDS + " s, see their logs in "
+                        + folder);
+            }
+            Work work = new Work(plan.work(), stage.replicasFor(Stage.CLIENTS), stage.loadLoop(), seed, history);
+            long began = History.now();
+            Duration ownBefore = ownCpu();
+            history.add(began, began, "rig", "began", Map.of("plan", plan.name(), "seed", seed, "seconds", plan.seconds()));
+            saboteur.start(faults);
+            if (load != null) {
+                load.start(plan.seconds() * 1_000_000L);
+            }
+            work.start();
+            stage.keepRegistered();
+            Thread.sleep(plan.seconds() * 1000L);
+            saboteur.heal();
+            work.stopWriting();
+            Thread.sleep(plan.settleSeconds() * 1000L);
+            if (plan.registry().replicas() > 0) {
+                work.readLast();
+            }
+            work.close();
+            if (load != null) {
+                load.await();
+            }
+            figures.put("rig_cpu_share", share(ownCpu().minus(ownBefore), stage));
+            crashed = stage.end();
+            stage.collect();
+        }
+        figures.putAll(figures(history));
+        List<Check.Verdict> verdicts = new ArrayList<>(Checks.look(plan.check(), history));
+        verdicts.add(Check.Verdict.of("processes", crashed));
+        long now = History.now();
+        history.add(now, now, "rig", "verdicts", Map.of("verdicts", verdicts.stream().map(Object::toString).toList(),
+                "figures", figures));
+        history.write(folder.resolve("history.jsonl"));
+        return new Outcome(plan.name(), seed, verdicts, figures);
+    }
+
+    private static Load load(RigPlan plan, long seed, Stage stage, History history) {
+        if (plan.load().rate().to() == 0) {
+            return null;
+        }
+        Map<String, InetSocketAddress> gateways = new TreeMap<>();
+        for (String name : Draw.matching(Stage.names(plan), "gateway-*")) {
+            gateways.put(name, Http.address(stage.reach(Stage.CLIENTS, name)));
+        }
+        return new Load(stage.loadLoop(), gateways, new Dice(seed, "rate").in(plan.load().rate()), plan.load().keys(), seed,
+                history);
+    }
+
+    private static Duration ownCpu() {
+        return ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    /** Of the CPU time that all took together, the rig's own: its clients, links and lists. */
+    private static double share(Duration own, Stage stage) {
+        double others = stage.programs().values().stream().mapToDouble(program -> program.cpu().toMillis()).sum();
+        return Math.round(1000.0 * own.toMillis() / Math.max(1, own.toMillis() + others)) / 1000.0;
+    }
+
+    /** What came of the requests. Served means in time; times are milliseconds from when a request was due. */
+    private static Map<String, Object> figures(History history) {
+        Map<String, Object> figures = new LinkedHashMap<>();
+        Map<String, Integer> outcomes = new TreeMap<>();
+        Histogram times = new Histogram(60_000_000L, 3);
+        int late = 0;
+        List<History.Event> requests = history.events("request");
+        for (History.Event request : requests) {
+            String outcome = request.text("outcome");
+            long micros = request.end() - request.start();
+            if (outcome.equals("served")) {
+                times.recordValue(Math.min(micros, 60_000_000L));
+                if (micros > Load.DEADLINE_MILLIS * 1000L) {
+                    outcome = "late";
+                    late++;
+                }
+            }
+            outcomes.merge(outcome, 1, Integer::sum);
+        }
+        writes(history, figures);
+        if (!requests.isEmpty()) {
+            figures.put("requests", requests.size());
+            figures.putAll(outcomes);
+            figures.put("served_share", Math.round(1000.0 * outcomes.getOrDefault("served", 0) / requests.size()) / 1000.0);
+            figures.put("late_share", Math.round(1000.0 * late / requests.size()) / 1000.0);
+            figures.put("p50_ms", times.getValueAtPercentile(50) / 1000.0);
+            figures.put("p99_ms", times.getValueAtPercentile(99) / 1000.0);
+        }
+        return figures;
+    }
+
+    /** What came of writes to the list service, and how long after a replica's kill the first that began then was
+        acknowledged. */
+    private static void writes(History history, Map<String, Object> figures) {
+        List<History.Event> writes = history.events().stream()
+                .filter(event -> event.op().equals("put") || event.op().equals("cas")).toList();
+        if (writes.isEmpty()) {
+            return;
+        }
+        figures.put("writes", writes.size());
+        figures.put("writes_unknown", writes.stream().filter(event -> !event.known()).count());
+        figures.put("writes_refused", writes.stream().filter(event -> "refused".equals(event.text("outcome"))).count());
+        List<Long> again = new ArrayList<>();
+        for (History.Event fault : history.events("fault")) {
+            if (fault.text("kind").equals("kill") && fault.facts().get("processes").toString().contains("registry")) {
+                writes.stream().filter(event -> event.start() > fault.start() && Boolean.TRUE.equals(event.facts().get("ok")))
+                        .mapToLong(History.Event::end).min().ifPresent(end -> again.add((end - fault.start()) / 1000));
+            }
+        }
+        if (!again.isEmpty()) {
+            figures.put("write_again_ms", again);
+        }
+    }
+
+    /** One line, for the file of all plays. */
+    static String line(Outcome outcome) {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("plan", outcome.plan());
+        all.put("seed", outcome.seed());
+        all.put("held", outcome.held());
+        all.put("verdicts", outcome.verdicts().stream().map(Object::toString).toList());
+        all.put("figures", outcome.figures());
+        return Json.text(all);
+    }
+
+    static void append(Path file, Outcome outcome) throws IOException {
+        Files.writeString(file, line(outcome) + "\n", StandardCharsets.UTF_8, java.nio.file.StandardOpenOption.CREATE,
+                java.nio.file.StandardOpenOption.APPEND);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/RegisterCheck.java
@@ -0,0 +1,82 @@
+package mastdrift.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import mastdrift.rig.History.Event;
+
+/** Reads, writes and compare-and-set of each entry of the list service are those of one register with a revision: events
+    {@code read}, {@code put}, {@code cas} with {@code key}, {@code value}, {@code rev}, {@code if_rev}, {@code ok}. */
+final class RegisterCheck implements Check {
+
+    static final long BUDGET = 5_000_000;
+    private static final long UNKNOWN = -1;  // of a write of which nobody heard
+
+    /** An entry: its value, null where there is none, and the revision of the write that made it. */
+    record Register(String value, long rev) {
+
+        boolean may(long other) {
+            return rev == UNKNOWN || rev == other;
+        }
+    }
+
+    private record Call(Event event) implements Linearizability.Call<Register> {
+        @Override
+        public long start() {
+            return event.start();
+        }
+
+        @Override
+        public long end() {
+            return event.end();
+        }
+
+        @Override
+        public Optional<Register> after(Register now) {
+            String value = event.text("value");
+            long rev = event.number("rev", UNKNOWN);
+            boolean ok = Boolean.TRUE.equals(event.facts().get("ok"));
+            return switch (event.op()) {
+                case "read" -> java.util.Objects.equals(value, now.value) && now.may(rev)
+                        ? Optional.of(new Register(value, rev)) : Optional.empty();
+                case "put" -> !event.known() ? Optional.of(new Register(value, UNKNOWN))
+                        : rev > now.rev ? Optional.of(new Register(value, rev)) : Optional.empty();
+                case "cas" -> {
+                    long expected = event.number("if_rev", 0);
+                    if (!event.known()) {
+                        yield now.may(expected) ? Optional.of(new Register(value, UNKNOWN)) : Optional.empty();
+                    }
+                    if (ok) {
+                        yield now.may(expected) && rev > now.rev ? Optional.of(new Register(value, rev)) : Optional.empty();
+                    }
+                    yield now.rev != expected ? Optional.of(now) : Optional.empty();
+                }
+                default -> Optional.empty();
+            };
+        }
+    }
+
+    @Override
+    public Verdict look(History history) {
+        Map<String, List<Call>> byKey = new HashMap<>();
+        for (Event event : history.events()) {
+            boolean read = event.op().equals("read");
+            if ((read && event.known() || event.op().equals("put") || event.op().equals("cas"))
+                    && !"refused".equals(event.text("outcome"))) {
+                byKey.computeIfAbsent(event.text("key"), key -> new ArrayList<>()).add(new Call(event));
+            }
+        }
+        List<String> breaches = new ArrayList<>();
+        boolean[] undecided = {false};
+        byKey.forEach((key, calls) -> {
+            switch (Linearizability.of(calls, new Register(null, 0), BUDGET)) {
+                case NO -> breaches.add(calls.size() + " calls on " + key + " can't be put in one order");
+                case OUT_OF_BUDGET -> undecided[0] = true;
+                default -> { }
+            }
+        });
+        return new Verdict("linearizable", breaches, undecided[0]);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Report.java
@@ -0,0 +1,106 @@
+package mastdrift.rig;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import mastdrift.common.Json;
+import org.HdrHistogram.Histogram;
+
+/** One page of all plays in a folder, which needs nothing beside it. */
+final class Report {
+
+    private static final String UPLOT = "/META-INF/resources/webjars/uplot/1.6.30/dist/";
+
+    private Report() { }
+
+    /** Throws IOException where the folder holds no play. */
+    static void write(Path folder, Path page) throws IOException {
+        List<Path> plays;
+        try (Stream<Path> all = Files.list(folder)) {
+            plays = all.map(each -> each.resolve("history.jsonl")).filter(Files::exists).sorted(
+                    java.util.Comparator.comparingLong(Report::seed)).toList();
+        }
+        if (plays.isEmpty()) {
+            throw new IOException("no play in " + folder);
+        }
+        List<String> shown = new ArrayList<>();
+        for (Path play : plays) {
+            shown.add(Json.text(summary(History.read(play))).replace("</", "<\\/"));
+        }
+        String html = resource("/rig.html").replace("/*UPLOT_CSS*/", resource(UPLOT + "uPlot.min.css"))
+                .replace("/*UPLOT_JS*/", resource(UPLOT + "uPlot.iife.min.js"))
+                .replace("/*PLAYS*/", String.join(",\n", shown));
+        Files.writeString(page, html, StandardCharsets.UTF_8);
+    }
+
+    private static long seed(Path history) {
+        String name = history.getParent().getFileName().toString();
+        return name.startsWith("seed-") ? Long.parseLong(name.substring(5)) : 0;
+    }
+
+    /** Times are seconds from the beginning of the load. */
+    private static Map<String, Object> summary(History history) {
+        History.Event began = history.events("began").get(0);
+        Map<String, Object> play = new LinkedHashMap<>(began.facts());
+        history.events("verdicts").forEach(event -> play.putAll(event.facts()));
+        play.put("faults", bands(history.events("fault"), began.start()));
+        List<History.Event> held = new ArrayList<>(history.events("view"));
+        held.addAll(history.events("granted"));
+        play.put("held", bands(held, began.start()));
+        play.put("windows", windows(history.events("request"), began));
+        return play;
+    }
+
+    private static List<Map<String, Object>> bands(List<History.Event> events, long zero) {
+        List<Map<String, Object>> bands = new ArrayList<>();
+        for (History.Event event : events) {
+            Map<String, Object> band = new LinkedHashMap<>(event.facts());
+            band.put("by", event.by());
+            band.put("op", event.op());
+            band.put("from", (event.start() - zero) / 1e6);
+            band.put("to", event.known() ? (event.end() - zero) / 1e6 : null);
+            bands.add(band);
+        }
+        return bands;
+    }
+
+    private static List<Map<String, Object>> windows(List<History.Event> requests, History.Event began) {
+        TreeMap<Long, Map<String, Object>> windows = new TreeMap<>();
+        Map<Long, Histogram> times = new LinkedHashMap<>();
+        for (History.Event request : requests) {
+            long second = (request.start() - began.start()) / 1_000_000;
+            Map<String, Object> window = windows.computeIfAbsent(second, s -> new LinkedHashMap<>(Map.of("second", s)));
+            String outcome = request.text("outcome");
+            long micros = request.end() - request.start();
+            if (outcome.equals("served")) {
+                times.computeIfAbsent(second, s -> new Histogram(60_000_000L, 3)).recordValue(Math.min(micros, 60_000_000L));
+                outcome = micros > Load.DEADLINE_MILLIS * 1000L ? "late" : "served";
+            } else if (!outcome.equals("refused")) {
+                outcome = "failed";
+            }
+            window.merge(outcome, 1, (a, b) -> (Integer) a + (Integer) b);
+        }
+        times.forEach((second, histogram) -> {
+            windows.get(second).put("p50", histogram.getValueAtPercentile(50) / 1000.0);
+            windows.get(second).put("p99", histogram.getValueAtPercentile(99) / 1000.0);
+        });
+        return List.copyOf(windows.values());
+    }
+
+    private static String resource(String name) throws IOException {
+        try (InputStream in = Report.class.getResourceAsStream(name)) {
+            if (in == null) {
+                throw new IOException("the rig lacks " + name);
+            }
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Rig.java
@@ -0,0 +1,215 @@
+package mastdrift.rig;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import mastdrift.common.TomlFile;
+import mastdrift.lab.Lab;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import picocli.CommandLine;
+
+/** The rig's commands. Exit status: 0 all held, 1 something was broken, 2 misuse or a play that could not be played. */
+@Command(name = "rig", mixinStandardHelpOptions = true, version = "0.1.0", synopsisSubcommandLabel = "COMMAND",
+        description = "Plays processes of the program under faults, and judges what they did.",
+        subcommands = {Rig.Run.class, Rig.MakeReport.class, Rig.Shrink.class, CommandLine.HelpCommand.class})
+public final class Rig implements Runnable {
+
+    static final int HELD = 0;
+    static final int BROKEN = 1;
+    static final int MISUSED = 2;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Runs and exits with the status. */
+    public static void main(String[] args) {
+        System.exit(run(args, new PrintWriter(System.out, true, StandardCharsets.UTF_8),
+                new PrintWriter(System.err, true, StandardCharsets.UTF_8)));
+    }
+
+    /** As {@link #main}, on the given streams; returns the exit status. */
+    static int run(String[] args, PrintWriter out, PrintWriter err) {
+        return new CommandLine(new Rig()).setOut(out).setErr(err)
+                .setExecutionExceptionHandler((fault, command, parsed) -> {
+                    command.getErr().println(fault instanceof TomlFile.Faults || fault instanceof IOException
+                            || fault instanceof IllegalStateException ? fault.getMessage() : fault.toString());
+                    return MISUSED;
+                }).execute(args);
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
+    }
+
+    /** What both commands that play take. */
+    abstract static class Playing implements Callable<Integer> {
+
+        @Parameters(index = "0", paramLabel = "PLAN", description = "the plan, a TOML file")
+        private Path file;
+
+        @Option(names = "--out", paramLabel = "DIR", defaultValue = "target/rig",
+                description = "where logs, histories and results go (default: ${DEFAULT-VALUE})")
+        private Path out;
+
+        @Option(names = "--root", paramLabel = "DIR", defaultValue = ".",
+                description = "the project's folder, with the program built (default: the present one)")
+        private Path root;
+
+        @Option(names = "--broken", paramLabel = "NAME", defaultValue = Variants.NONE,
+                description = "plays a variant that is wrong on purpose, and has to end with status 1")
+        private String variant;
+
+        @Spec
+        private CommandSpec spec;
+
+        RigPlan plan() throws TomlFile.Faults, IOException {
+            if (!variant.equals(Variants.NONE) && !Variants.ALL.contains(variant)) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "--broken: expected one of "
+                        + String.join(", ", Variants.ALL) + ", not " + variant);
+            }
+            RigPlan plan = PlanFile.read(file);
+            if (plan.gateways().count() > 0 && !Files.exists(root.resolve("target/mastdrift.jsa"))) {
+                throw new IllegalStateException(root.resolve("target/mastdrift.jsa")
+                        + " is missing: run the deploy file's build first");
+            }
+            return plan;
+        }
+
+        Path out() {
+            return out.toAbsolutePath();
+        }
+
+        PrintWriter print() {
+            return spec.commandLine().getOut();
+        }
+
+        Play.Outcome play(RigPlan plan, long seed, List<Fault> faults, int lane) throws IOException, InterruptedException {
+            return Play.of(plan, seed, faults, new Stage.Setting(root.toAbsolutePath().normalize(), true, variant),
+                    lane, folder(seed));
+        }
+
+        Path folder(long seed) {
+            return out().resolve("seed-" + seed);
+        }
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a plan with each seed.")
+    static final class Run extends Playing {
+
+        @Option(names = "--seeds", paramLabel = "SEEDS", defaultValue = "1", converter = Lab.Seeds.class,
+                description = "like 3, 1..8 or 1,5,9..12 (default: ${DEFAULT-VALUE})")
+        private List<Long> seeds;
+
+        @Option(names = "--jobs", paramLabel = "N", defaultValue = "1",
+                description = "plays side by side (default: ${DEFAULT-VALUE}); figures of time need one at a time")
+        private int jobs;
+
+        private synchronized void tell(Play.Outcome outcome, Path results) throws IOException {
+            Play.append(results, outcome);
+            print().println("seed " + outcome.seed() + ": " + (outcome.held() ? "held" : "BROKEN") + "  " + outcome.figures());
+            outcome.verdicts().stream().filter(verdict -> !verdict.held()).forEach(verdict -> print().println("  " + verdict));
+        }
+
+        @Override
+        public Integer call() throws Exception {
+            RigPlan plan = plan();
+            Files.createDirectories(out());
+            Path results = out().resolve("results.jsonl");
+            Files.deleteIfExists(results);
+            AtomicInteger broken = new AtomicInteger();
+            BlockingQueue<Integer> lanes = new LinkedBlockingQueue<>();
+            for (int lane = 0; lane < jobs; lane++) {
+                lanes.add(lane);
+            }
+            ExecutorService pool = Executors.newFixedThreadPool(jobs);
+            List<Future<?>> plays = new ArrayList<>();
+            for (long seed : seeds) {
+                plays.add(pool.submit(() -> {
+                    int lane = lanes.take();
+                    Play.Outcome outcome = play(plan, seed, Draw.faults(plan, Stage.names(plan), seed), lane);
+                    lanes.add(lane);
+                    broken.addAndGet(outcome.held() ? 0 : 1);
+                    tell(outcome, results);
+                    return null;
+                }));
+            }
+            try {
+                for (Future<?> each : plays) {
+                    each.get();
+                }
+            } catch (ExecutionException e) {
+                throw e.getCause() instanceof Exception cause ? cause : e;
+            } finally {
+                pool.shutdownNow();
+            }
+            print().println(String.format(Locale.ROOT, "%d of %d seeds held; results in %s", seeds.size() - broken.get(),
+                    seeds.size(), results));
+            return broken.get() == 0 ? HELD : BROKEN;
+        }
+    }
+
+    @Command(name = "report", mixinStandardHelpOptions = true,
+            description = "Makes one page of the plays in a folder that 'run' left.")
+    static final class MakeReport implements Callable<Integer> {
+
+        @Parameters(index = "0", paramLabel = "DIR", description = "what --out named")
+        private Path folder;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            Path page = folder.resolve("report.html");
+            Report.write(folder, page);
+            spec.commandLine().getOut().println(page);
+            return HELD;
+        }
+    }
+
+    @Command(name = "shrink", mixinStandardHelpOptions = true,
+            description = "Leaves out one fault after the other, and tells the fewest with which a seed still breaks.")
+    static final class Shrink extends Playing {
+
+        @Parameters(index = "1", paramLabel = "SEED")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            RigPlan plan = plan();
+            List<Fault> faults = Draw.faults(plan, Stage.names(plan), seed);
+            if (play(plan, seed, faults, 0).held()) {
+                print().println("seed " + seed + " holds: nothing to shrink");
+                return HELD;
+            }
+            for (int i = faults.size() - 1; i >= 0; i--) {
+                List<Fault> fewer = new ArrayList<>(faults);
+                Fault left = fewer.remove(i);
+                boolean held = play(plan, seed, fewer, 0).held();
+                print().println((held ? "needed:   " : "left out: ") + left.facts());
+                faults = held ? faults : fewer;
+            }
+            print().println("still broken with " + faults.size() + " faults:");
+            faults.forEach(fault -> print().println("  " + fault.at() + " ms, " + fault.span() + " ms: " + fault.facts()));
+            return BROKEN;
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/RigPlan.java
@@ -0,0 +1,37 @@
+package mastdrift.rig;
+
+import java.util.List;
+import mastdrift.common.Range;
+
+/**
+ * A plan as its file has it: what runs, what comes, and ranges of faults of which each seed draws its own.
+ *
+ * @param seconds how long clients come
+ * @param settleSeconds how long after the last fault's end the rig waits before it looks at what all agree on
+ * @param relay false where processes reach each other with no link between; then no fault of a link is possible
+ * @param check the checkers, by name
+ */
+record RigPlan(String name, int seconds, int settleSeconds, boolean relay, Gateways gateways, Hosts hosts, Load load,
+        Registry registry, Work work, List<Trouble> faults, List<String> check) {
+
+    /** How many gateways, dealt out over the hosts' zones in turn; whether agents of our list service feed them. */
+    record Gateways(int count, boolean agents) { }
+
+    /** How many hosts, in which zones, of how many cores, the work of a request on one core, and how long their entries
+        of our list service live without renewal, 0 for as long as nobody removes them. */
+    record Hosts(int count, List<String> zones, int cores, Range workMs, long leaseMs) { }
+
+    /** Requests a second to all gateways together. */
+    record Load(Range rate, int keys) { }
+
+    /** Replicas of our list service, 0 for none. */
+    record Registry(int replicas) { }
+
+    /** Callers of the list service: how many write and read, on how many entries, and how many watch; calls a second of
+        each; how long an entry lives without renewal, 0 for as long as nobody removes it. */
+    record Work(int writers, int entries, int watchers, Range rate, long leaseMs) { }
+
+    /** A fault that seeds draw from; processes are named by patterns with a star. */
+    record Trouble(Fault.Kind kind, String process, String from, String to, int pick, Range atS, Range forS, Link.Way way,
+            Range size, double spread, Fault.Back back, String when, double heal, int times) { }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/RulesCheck.java
@@ -0,0 +1,130 @@
+package mastdrift.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mastdrift.rig.History.Event;
+
+/**
+ * The four rules (PROTOCOL and WIRE, section 14) on what clients and hosts saw. Verdicts hang on what happened, not on how
+ * fast the machine was: an answer that comes late is a figure, one that never comes is a breach.
+ */
+final class RulesCheck implements Check {
+
+    private static final long DRAIN_GRACE = 1_500_000;
+    private static final long DRAIN_SLACK = 1_500_000;  // for a busy machine; the bench has 50 ms
+    private static final long AFTER_FAULT = 2_000_000;
+    private static final long TOLD_AT_THE_LATEST = 6_000_000;
+
+    private final List<String> breaches = new ArrayList<>();
+
+    /** When something was not as it should be, and with whom. */
+    private record Trouble(long start, long end, Set<String> processes, Set<String> others, String kind) {
+        boolean overlaps(long from, long to) {
+            return start <= to && end >= from;
+        }
+    }
+
+    @Override
+    public Verdict look(History history) {
+        List<Trouble> troubles = history.events("fault").stream().map(RulesCheck::trouble).toList();
+        Map<String, Event> requests = new HashMap<>();
+        history.events("request").forEach(event -> requests.put(event.text("trace"), event));
+        lost(requests, troubles);
+        duplicates(history, requests);
+        drains(history, requests, troubles);
+        history.events("fell").stream().filter(event -> troubles.stream().noneMatch(trouble ->
+                trouble.others.stream().anyMatch(other -> other.startsWith("discovery"))
+                        && trouble.overlaps(event.start() - TOLD_AT_THE_LATEST, event.start())))
+                .forEach(event -> breaches.add("fall: " + event.by() + " pressed down while cold"));
+        return Verdict.of("rules", breaches);
+    }
+
+    private static Trouble trouble(Event event) {
+        return new Trouble(event.start(), event.end(), names(event, "processes"), names(event, "others"),
+                event.text("kind"));
+    }
+
+    private static Set<String> names(Event event, String fact) {
+        Set<String> names = new HashSet<>();
+        if (event.facts().get(fact) instanceof List<?> list) {
+            list.forEach(each -> names.add(each.toString()));
+        }
+        return names;
+    }
+
+    /** What a gateway had taken it answers, unless it was killed or cut off from its clients. */
+    private void lost(Map<String, Event> requests, List<Trouble> troubles) {
+        for (Event request : requests.values()) {
+            String outcome = request.text("outcome");
+            String gateway = request.text("gateway");
+            if (outcome.equals("foreign")) {
+                breaches.add("lost_request: " + request.text("trace") + " was served with another's answer by " + gateway);
+            } else if (outcome.equals("lost") || outcome.equals("unanswered")) {
+                boolean excused = troubles.stream().anyMatch(trouble ->
+                        trouble.overlaps(request.start(), request.end())
+                                && (trouble.kind.equals("kill") && trouble.processes.contains(gateway)
+                                        || trouble.processes.contains("clients") && trouble.others.contains(gateway))
+                                || trouble.processes.contains("clients") && trouble.others.contains(gateway)
+                                        && trouble.overlaps(request.start() - AFTER_FAULT, request.end()));
+                if (!excused) {
+                    breaches.add("lost_request: " + request.text("trace") + " " + outcome + " by " + gateway);
+                }
+            }
+        }
+    }
+
+    private void duplicates(History history, Map<String, Event> requests) {
+        Map<String, List<Event>> begun = new HashMap<>();
+        history.events("begin").forEach(event -> begun.computeIfAbsent(event.text("trace"), t -> new ArrayList<>()).add(event));
+        begun.forEach((trace, times) -> {
+            Event request = requests.get(trace);
+            if (request == null) {
+                breaches.add("duplicate: a host began " + trace + ", which no client sent");
+                return;
+            }
+            String type = request.text("class");
+            if (type.equals("fechamento") && times.size() > 1) {
+                breaches.add("duplicate: unsafe request " + trace + " begun " + times.size() + " times");
+            }
+            if (type.equals("leitura") && times.stream().map(event -> zone(event.by())).distinct().count() > 1) {
+                breaches.add("duplicate: keyed request " + trace + " begun in more zones than one");
+            }
+            if (request.text("outcome").equals("refused") && !type.equals("consulta")) {
+                breaches.add("duplicate: " + trace + " refused though a host had begun it");
+            }
+        });
+    }
+
+    private static String zone(String host) {
+        return host.split("-")[1];
+    }
+
+    private void drains(History history, Map<String, Event> requests, List<Trouble> troubles) {
+        Map<String, Long> drained = new HashMap<>();
+        for (Event event : history.events()) {
+            if (event.op().equals("listed")) {
+                if (event.text("state").equals("terminating")) {
+                    drained.put(event.text("host"), event.start());
+                } else {
+                    drained.remove(event.text("host"));
+                }
+            }
+            Long since = drained.get(event.by());
+            if ((event.op().equals("begin") || event.op().equals("shed")) && since != null
+                    && event.start() - since > DRAIN_GRACE + DRAIN_SLACK) {
+                Event request = requests.get(event.text("trace"));
+                String gateway = request == null ? "" : request.text("gateway");
+                boolean excused = troubles.stream().anyMatch(trouble -> trouble.overlaps(since, event.start())
+                        && trouble.processes.contains(gateway));
+                if (!excused) {
+                    breaches.add("drain: " + gateway + " sent to " + event.by() + " " + (event.start() - since) / 1000
+                            + " ms after its drain was told");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Saboteur.java
@@ -0,0 +1,187 @@
+package mastdrift.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import mastdrift.lab.Dice;
+
+/** Begins and ends the faults of one play, on a thread of its own, and writes down when it did. */
+final class Saboteur implements AutoCloseable {
+
+    private static final int LOOK_MILLIS = 20;
+    private static final int UNLIST_MILLIS = 1000;  // so late the list hears of a host that died
+
+    private final Stage stage;
+    private final History history;
+    private final long seed;
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+    private final Map<Integer, Long> begun = new HashMap<>();
+    private final List<Fault> open = new ArrayList<>();
+    private volatile Throwable failure;
+
+    Saboteur(Stage stage, History history, long seed) {
+        this.stage = stage;
+        this.history = history;
+        this.seed = seed;
+    }
+
+    /** Time counts from now. */
+    void start(List<Fault> faults) {
+        for (Fault fault : faults) {
+            if (fault.back() == Fault.Back.OLDER) {
+                in(fault.at() / 2, () -> fault.processes().forEach(name -> stage.programs().get(name).keepCopy()));
+            }
+            if (fault.when() == null) {
+                in(fault.at(), () -> begin(fault));
+            } else {
+                LogWatch watch = new LogWatch(fault.when(), stage.programs().values().stream()
+                        .map(program -> program.spec().log()).toList());
+                in(LOOK_MILLIS, () -> look(fault, watch));
+            }
+        }
+    }
+
+    private void look(Fault fault, LogWatch watch) {
+        if (watch.seen()) {
+            in(fault.at(), () -> begin(fault));
+        } else {
+            in(LOOK_MILLIS, () -> look(fault, watch));
+        }
+    }
+
+    private void in(long millis, Runnable what) {
+        thread.schedule(() -> {
+            try {
+                what.run();
+            } catch (RuntimeException e) {
+                failure = e;
+            }
+        }, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void begin(Fault drawn) {
+        Fault fault = drawn.processes().contains(Stage.LEADER) ? drawn.of(stage.leader()) : drawn;
+        begun.put(fault.id(), History.now());
+        open.add(fault);
+        if (fault.kind().link) {
+            each(fault, link -> link.begin(fault));
+        } else {
+            fault.processes().forEach(name -> begin(fault, name));
+        }
+        if (fault.span() > 0) {
+            in(fault.span(), () -> end(fault, false));
+        }
+    }
+
+    private void begin(Fault fault, String name) {
+        Program program = stage.programs().get(name);
+        switch (fault.kind()) {
+            case KILL -> {
+                stage.meant(name, true);
+                program.kill();
+                if (name.startsWith("host-")) {
+                    in(UNLIST_MILLIS, () -> {
+                        if (!stage.programs().get(name).alive()) {
+                            stage.unlist(name);
+                        }
+                    });
+                }
+            }
+            case TERM -> {
+                stage.meant(name, true);
+                program.term();
+            }
+            case FREEZE -> program.freeze();
+            case REPLACE -> stage.drain(name);
+            case DISK_FULL -> stage.hook(name, "disk full");
+            case CLOCK_JUMP -> stage.hook(name, "jump " + fault.size());
+            case CLOCK_RATE -> stage.hook(name, "rate " + fault.size());
+            default -> throw new IllegalStateException(fault.kind() + " is a fault of links");
+        }
+    }
+
+    private void each(Fault fault, java.util.function.Consumer<Link> what) {
+        for (String from : fault.processes()) {
+            for (String to : fault.others()) {
+                if (!from.equals(to)) {
+                    stage.links(from, to).forEach(what);
+                }
+            }
+        }
+    }
+
+    /** {@code wholly}: what would heal in part heals in full. */
+    private void end(Fault fault, boolean wholly) {
+        if (!open.remove(fault)) {
+            return;
+        }
+        if (fault.kind().link) {
+            Dice dice = new Dice(seed, "heal#" + fault.id());
+            boolean[] left = {false};
+            each(fault, link -> {
+                if (wholly || dice.unit() < fault.heal()) {
+                    link.heal();
+                } else {
+                    left[0] = true;
+                }
+            });
+            if (left[0]) {
+                open.add(fault);
+                return;
+            }
+        } else {
+            fault.processes().forEach(name -> end(fault, name));
+        }
+        history.add(begun.get(fault.id()), History.now(), "rig", "fault", fault.facts());
+    }
+
+    private void end(Fault fault, String name) {
+        Program program = stage.programs().get(name);
+        switch (fault.kind()) {
+            case KILL, TERM -> {
+                switch (fault.back()) {
+                    case EMPTY -> program.wipe();
+                    case OLDER -> program.older();
+                    default -> { }
+                }
+                if (fault.back() != Fault.Back.NEVER) {
+                    stage.restart(name);
+                    stage.meant(name, false);
+                }
+            }
+            case FREEZE -> program.wake();
+            case REPLACE -> {
+                stage.meant(name, true);
+                program.kill();
+                stage.unlist(name);
+                stage.restart(name);
+                stage.meant(name, false);
+            }
+            default -> stage.hook(name, "");
+        }
+    }
+
+    /** Ends all that is still on, and begins nothing any more. Throws IllegalStateException where a fault could not be
+        brought about. */
+    void heal() throws InterruptedException {
+        try {
+            thread.submit(() -> List.copyOf(open).forEach(fault -> end(fault, true))).get();
+        } catch (java.util.concurrent.ExecutionException e) {
+            failure = e.getCause();
+        }
+        thread.shutdownNow();
+        thread.awaitTermination(1, TimeUnit.MINUTES);
+        if (failure != null) {
+            throw new IllegalStateException("a fault could not be brought about: " + failure, failure);
+        }
+    }
+
+    @Override
+    public void close() {
+        thread.shutdownNow();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Stage.java
@@ -0,0 +1,547 @@
+package mastdrift.rig;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import mastdrift.common.Json;
+import mastdrift.lab.Dice;
+
+/** The processes of one play, the links between them, and what it takes to start them. Set up and taken down by the rig's
+    main thread; {@link #links} may be called from others. */
+final class Stage implements AutoCloseable {
+
+    static final String CLIENTS = "clients";
+    private static final String DISCOVERY = "discovery";
+    static final String LEADER = "@leader";
+    private static final String IN_SERVICE = "in_service";
+    private static final int LINK_LOOPS = 2;
+    private static final long WAIT_MILLIS = 60_000;
+
+    /**
+     * What is played, and from where.
+     *
+     * @param root the project's folder
+     * @param deployed whether gateways start by the deploy file's {@code run}, or from the class path of the rig
+     * @param variant that of {@link Variants} which is broken on purpose
+     */
+    record Setting(Path root, boolean deployed, String variant) { }
+
+    private final RigPlan plan;
+    private final long seed;
+    private final Setting setting;
+    private final Path root;
+    private final Path folder;
+    private final History history;
+    private final Warden warden = new Warden();
+    private final EventLoopGroup linkLoops = new MultiThreadIoEventLoopGroup(LINK_LOOPS, NioIoHandler.newFactory());
+    private final EventLoop ownLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final EventLoop loadLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final List<String> names = new ArrayList<>();
+    private final Map<String, Integer> ports = new HashMap<>();
+    private final Map<String, List<Link>> links = new ConcurrentHashMap<>();
+    private final Map<String, Program> programs = new TreeMap<>();
+    private final Set<String> ended = ConcurrentHashMap.newKeySet();  // by a fault
+    private final Thread ender = new Thread(this::close);  // also where the rig is stopped in mid-play
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final List<Thread> renewals = new ArrayList<>();
+    private final Addresses addresses;
+    private final Lists lists;
+    private final Dice linkDice;
+
+    /** {@code folder} takes all files of this play. */
+    Stage(RigPlan plan, long seed, Setting setting, int lane, Path folder, History history) throws IOException {
+        addresses = new Addresses(lane);
+        this.plan = plan;
+        this.seed = seed;
+        this.setting = setting;
+        root = setting.root();
+        this.folder = folder;
+        this.history = history;
+        linkDice = new Dice(seed, "links");
+        names.addAll(names(plan));
+        Files.createDirectories(folder);
+        Runtime.getRuntime().addShutdownHook(ender);
+        lists = new Lists(ownLoop, (gateway, host) -> reach(gateway, host), history);
+    }
+
+    /** Of all processes of that plan, whichever the seed. */
+    static List<String> names(RigPlan plan) {
+        List<String> names = new ArrayList<>(List.of(CLIENTS));
+        for (int i = 0; i < plan.gateways().count(); i++) {
+            names.add("gateway-" + (i + 1));
+            names.add(listsOf("gateway-" + (i + 1)));
+            if (plan.gateways().agents()) {
+                names.add("agent-" + (i + 1));
+            }
+        }
+        for (int i = 0; i < plan.registry().replicas(); i++) {
+            names.add("registry-" + (i + 1));
+        }
+        for (int i = 0; i < plan.hosts().count(); i++) {
+            names.add("host-" + zone(plan, i) + "-" + (i / plan.hosts().zones().size() + 1));
+        }
+        return names;
+    }
+
+    /** The lists are each gateway's own, so that it reaches each host through a link of its own. */
+    private static String listsOf(String gateway) {
+        return DISCOVERY + ":" + gateway;
+    }
+
+    private static String zone(RigPlan plan, int index) {
+        return plan.hosts().zones().get(index % plan.hosts().zones().size());
+    }
+
+    Map<String, Program> programs() {
+        return programs;
+    }
+
+    Lists lists() {
+        return lists;
+    }
+
+    EventLoop loadLoop() {
+        return loadLoop;
+    }
+
+    private int index(String name) {
+        return names.indexOf(name);
+    }
+
+    /** A port that stays that process's own. */
+    private int port(String name) {
+        return ports.computeIfAbsent(name, n -> Addresses.port(addresses.own(index(n))));
+    }
+
+    private String own(String name) {
+        return addresses.own(index(name)) + ":" + port(name);
+    }
+
+    /** Where one process reaches another: through a link, which opens with the first who asks. */
+    String reach(String from, String to) {
+        if (!plan.relay()) {
+            return own(to);
+        }
+        links(from, to);
+        return addresses.link(index(from), index(to)) + ":" + port(to);
+    }
+
+    /** All links from one process to another: two between replicas, by their logs and by calls. */
+    synchronized List<Link> links(String from, String to) {
+        if (!links.containsKey(from + ">" + to)) {
+            open(from, to, port(to));
+        }
+        return links.get(from + ">" + to);
+    }
+
+    private void open(String from, String to, int port) {
+        links.computeIfAbsent(from + ">" + to, name -> new CopyOnWriteArrayList<>()).add(Link.open(linkLoops.next(),
+                Addresses.socket(addresses.link(index(from), index(to)), port),
+                Addresses.socket(addresses.own(index(to)), port), this::unit));
+    }
+
+    private double unit() {
+        synchronized (linkDice) {
+            return linkDice.unit();
+        }
+    }
+
+    /** Starts all, and waits until all say that they serve. */
+    void start() throws IOException, InterruptedException {
+        startRegistry();
+        for (String name : Draw.matching(names, "host-*")) {
+            lists.put(name, name.split("-")[1], IN_SERVICE, 0);
+            program(name, host(name, false), Map.of());
+        }
+        for (String name : Draw.matching(names, "host-*")) {
+            await(name + " to listen", () -> said(name, "listening on"));
+        }
+        for (String name : Draw.matching(names, "agent-*")) {
+            List<String> command = new ArrayList<>(List.of(folder.resolve(name).resolve("data").toString(), own(name)));
+            replicas().forEach(replica -> command.add(reach(name, replica)));
+            hooked(name, "agent", command);
+        }
+        for (String name : Draw.matching(names, "agent-*")) {
+            await(name + " to have a list", () -> said(name, " list "));
+        }
+        for (String name : Draw.matching(names, "gateway-*")) {
+            startGateway(name);
+        }
+    }
+
+    private List<String> replicas() {
+        return Draw.matching(names, "registry-*");
+    }
+
+    /** Where callers reach each replica. */
+    List<String> replicasFor(String caller) {
+        return replicas().stream().map(replica -> reach(caller, replica)).toList();
+    }
+
+    /** Replicas reach each other by names, which each resolves to its own links: their log holds one address of each. */
+    private void startRegistry() throws IOException, InterruptedException {
+        int raft = replicas().isEmpty() ? 0 : Addresses.port(addresses.own(index("registry-1")));
+        for (String name : replicas()) {
+            StringBuilder known = new StringBuilder();
+            List<String> command = new ArrayList<>(List.of(name, folder.resolve(name).resolve("data").toString(), own(name),
+                    addresses.own(index(name)) + ":" + raft));
+            for (String other : replicas()) {
+                boolean own = other.equals(name);
+                known.append(own || !plan.relay() ? addresses.own(index(other)) : addresses.link(index(name), index(other)))
+                        .append(' ').append(other).append('\n');
+                command.add(other + "=" + other + ":" + raft + "/" + other + ":" + port(other));
+                if (!own && plan.relay()) {
+                    reach(name, other);
+                    open(name, other, raft);
+                }
+            }
+            Files.createDirectories(folder.resolve(name));
+            Path file = folder.resolve(name).resolve("hosts");
+            Files.writeString(file, known, StandardCharsets.UTF_8);
+            hooked(name, "registry", command, "-Djdk.net.hosts.file=" + file);
+        }
+        for (String name : replicas()) {
+            await(name + " to take part", () -> said(name, "takes-part"));
+        }
+        if (!replicas().isEmpty()) {
+            await("a leader", () -> leader() != null);
+            for (String host : Draw.matching(names, "host-*")) {
+                register(host, IN_SERVICE, 0);
+            }
+        }
+    }
+
+    private void hooked(String name, String what, List<String> arguments, String... flags) {
+        List<String> all = new ArrayList<>(List.of(hooks(name).toString(), what.equals("registry")
+                && setting.variant().matches(Variants.REVISION_REUSED + "|" + Variants.LEASE_BY_OWN_CLOCK + "|"
+                        + Variants.WATCH_SKIPS) ? setting.variant() : Variants.NONE, what));
+        all.addAll(arguments);
+        List<String> command = java("-Xmx160m", Hooked.class.getName(), all.toArray(String[]::new));
+        command.addAll(1, List.of(flags));
+        program(name, command, Map.of());
+    }
+
+    private Path hooks(String name) {
+        return folder.resolve(name).resolve("hooks.txt");
+    }
+
+    /** What is wrong with its clock and disk from now on; nothing for an empty line. */
+    void hook(String name, String line) {
+        try {
+            Files.writeString(hooks(name), line, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The replica that some replica takes for the leader; null while none does. */
+    String leader() {
+        for (String name : replicas()) {
+            if (!programs.get(name).alive()) {
+                continue;
+            }
+            try {
+                Object leader = ask(name, "GET", "/v1/registry", "").get("leader");
+                if (leader != null) {
+                    return leader.toString();
+                }
+            } catch (IOException | IllegalArgumentException e) {
+                continue;  // the next may know
+            }
+        }
+        return null;
+    }
+
+    /** As staff would, past all links. */
+    private Map<String, Object> ask(String replica, String method, String path, String body) throws IOException {
+        return askAt(own(replica), method, path, body);
+    }
+
+    private static Map<String, Object> askAt(String at, String method, String path, String body) throws IOException {
+        HttpURLConnection call = (HttpURLConnection) URI.create("http://" + at + path).toURL().openConnection();
+        call.setConnectTimeout(1000);
+        call.setReadTimeout(4000);
+        call.setRequestMethod(method);
+        if (!body.isEmpty()) {
+            call.setDoOutput(true);
+            call.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+        }
+        try (java.io.InputStream in = call.getInputStream()) {
+            return Json.object(in.readAllBytes());
+        }
+    }
+
+    private void register(String host, String state, long bootMs) throws InterruptedException {
+        Map<String, Object> entry = Lists.target(host, own(host), host.split("-")[1], state, bootMs);
+        entry.put("lease_ms", plan.hosts().leaseMs());
+        boolean gone = state.equals("terminated");
+        await(host + " to be registered", () -> {
+            for (String replica : replicas()) {
+                try {
+                    ask(replica, gone ? "DELETE" : "PUT", "/v1/entries/" + host + (gone ? "?now=1" : ""),
+                            gone ? "" : Json.text(entry));
+                    return true;
+                } catch (java.io.FileNotFoundException e) {
+                    return gone;  // it is not there any more
+                } catch (IOException | IllegalArgumentException e) {
+                    continue;
+                }
+            }
+            return false;
+        });
+    }
+
+    private List<String> host(String name, boolean cold) {
+        RigPlan.Hosts hosts = plan.hosts();
+        return java("-Xmx48m", StandInHost.class.getName(), name, own(name), Integer.toString(hosts.cores()),
+                Double.toString(hosts.workMs().from()), Double.toString(hosts.workMs().to()),
+                Long.toString(seed * 1000 + index(name)), Boolean.toString(cold),
+                folder.resolve(name + ".events.jsonl").toString());
+    }
+
+    /** A program of the rig's own class path, with the machine's small virtual machine. */
+    private static List<String> java(String heap, String main, String... arguments) {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), heap, "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-XX:-UsePerfData", "-cp", System.getProperty("java.class.path"),
+                main));
+        command.addAll(List.of(arguments));
+        return command;
+    }
+
+    private Program program(String name, List<String> command, Map<String, String> environment) {
+        Program program = new Program(new Program.Spec(name, command, environment, folder.resolve(name), root), warden);
+        programs.put(name, program);
+        program.start();
+        return program;
+    }
+
+    private void startGateway(String name) throws IOException {
+        String listsOf = listsOf(name);
+        lists.serve(name, Addresses.socket(addresses.own(index(listsOf)), port(listsOf)));
+        Path config = folder.resolve(name + ".json");
+        String discovery = plan.gateways().agents() ? reach(name, name.replace("gateway", "agent")) : reach(name, listsOf);
+        Files.writeString(config, Json.text(config(name, discovery)), StandardCharsets.UTF_8);
+        Path temporary = folder.resolve(name).resolve("data");
+        List<String> command = setting.deployed() ? List.of("/bin/sh", "-c", run())
+                : java("-Xmx64m", "mastdrift.net.Main");
+        program(name, command, Map.of("NODE_CONFIG", config.toString(), "NODE_NAME", name,
+                "NODE_LISTEN", own(name), "TMPDIR", temporary.toString()));
+    }
+
+    /** What the deploy file says of {@code run}. */
+    private String run() throws IOException {
+        Object run = org.tomlj.Toml.parse(root.resolve("deploy/balancer.toml")).get("run");
+        return run.toString();
+    }
+
+    private Map<String, Object> config(String name, String discovery) throws IOException {
+        Map<String, Object> config = new LinkedHashMap<>(JSON.std.mapFrom(
+                Files.readAllBytes(root.resolve("deploy/rehearsal.json"))));
+        int number = Integer.parseInt(name.split("-")[1]) - 1;
+        @SuppressWarnings("unchecked")
+        Map<String, Object> settings = new LinkedHashMap<>((Map<String, Object>) config.get("settings"));
+        settings.put("dcs", plan.hosts().zones());
+        settings.put("locality", zone(plan, number));
+        settings.put("balancers", plan.gateways().count());
+        settings.put("me", number);
+        settings.put("skus", List.of("std"));
+        settings.put("weights", "off");
+        if (setting.variant().equals(Variants.REPEATS_ALL)) {
+            settings.put("classes", ((List<?>) settings.get("classes")).stream().map(each -> {
+                Map<Object, Object> safe = new LinkedHashMap<>((Map<?, ?>) each);
+                safe.put("repeat", "read_like");
+                return safe;
+            }).toList());
+        }
+        if (setting.variant().equals(Variants.DRAINS_LATE)) {
+            Map<Object, Object> late = new LinkedHashMap<>((Map<?, ?>) settings.get("guarantees"));
+            late.put("drain_grace", 60_000_000);
+            settings.put("guarantees", late);
+        }
+        config.put("settings", settings);
+        config.put("name", name);
+        config.put("listen", own(name));
+        config.put("discovery", discovery);
+        config.remove("admin");
+        config.put("seed", String.format("%016x", seed * 1000 + number));
+        config.put("limits", Map.of("cores", 1.0, "memory_mb", 192, "sockets", 1024));
+        config.put("known", lists.whole(name));
+        return config;
+    }
+
+    private boolean said(String name, String text) {
+        try {
+            Path log = programs.get(name).spec().log();
+            return Files.exists(log) && Files.readString(log, StandardCharsets.UTF_8).contains(text);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Throws IllegalStateException that tells what did not come within a minute, however slow the machine. */
+    private void await(String what, BooleanSupplier come) throws InterruptedException {
+        long end = System.nanoTime() + WAIT_MILLIS * 1_000_000;
+        while (!come.getAsBoolean()) {
+            programs.values().stream().filter(program -> !program.alive() && !ended.contains(program.name())).findAny()
+                    .ifPresent(program -> {
+                        throw new IllegalStateException(program.name() + " ended with status " + program.status()
+                                + " before " + what + ", see " + program.spec().log());
+                    });
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("waited in vain for " + what);
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    /** Takes a host off the list, as one that has died is a little later. */
+    void unlist(String host) {
+        listed(host, "terminated", 0);
+    }
+
+    /** In both lists, the platform's stand-in and our own service, where there is one. */
+    private void listed(String host, String state, long bootMs) {
+        lists.put(host, host.split("-")[1], state, bootMs);
+        if (!replicas().isEmpty()) {
+            try {
+                register(host, state, bootMs);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    void drain(String host) {
+        listed(host, "terminating", 0);
+        programs.get(host).tell("drain");
+    }
+
+    /** A new process under the old name: a host is cold, and its start is told. */
+    void restart(String name) {
+        if (!name.startsWith("host-")) {
+            programs.get(name).start();
+            return;
+        }
+        Program old = programs.get(name);
+        Program cold = new Program(new Program.Spec(name, host(name, true), Map.of(), folder.resolve(name), root), warden);
+        programs.put(name, cold);
+        long lines = lines(old.spec().log());
+        cold.start();
+        try {
+            await(name + " to listen", () -> lines(cold.spec().log()) > lines && said(name, "listening on"));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        listed(name, IN_SERVICE, System.currentTimeMillis());
+    }
+
+    private static long lines(Path log) {
+        try {
+            return Files.exists(log) ? Files.readString(log, StandardCharsets.UTF_8).lines().count() : 0;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Hosts renew their leases with the list service from now on, each through links of its own, as long as they run. */
+    void keepRegistered() {
+        long every = plan.hosts().leaseMs() / 3;
+        if (every == 0 || replicas().isEmpty()) {
+            return;
+        }
+        for (String host : Draw.matching(names, "host-*")) {
+            List<String> at = replicasFor(host);
+            Thread thread = new Thread(() -> {
+                for (int turn = 0; !Thread.currentThread().isInterrupted(); turn++) {
+                    try {
+                        if (programs.get(host).running()) {
+                            askAt(at.get(turn % at.size()), "POST", "/v1/renew", Json.text(Map.of("uids", List.of(host))));
+                        }
+                        Thread.sleep(every);
+                    } catch (IOException | IllegalArgumentException e) {
+                        continue;  // the next replica, at once
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+            renewals.add(thread);
+        }
+    }
+
+    /** What hosts have written down. */
+    void collect() {
+        for (String name : Draw.matching(names, "host-*")) {
+            history.addAll(folder.resolve(name + ".events.jsonl"));
+        }
+    }
+
+    /** Ends all, gateways as a platform does; names those that had ended by themselves. */
+    List<String> end() {
+        List<String> crashed = new ArrayList<>();
+        for (Program program : programs.values()) {
+            if (!program.alive() && !ended.contains(program.name())) {
+                crashed.add(program.name() + " ended by itself with status " + program.status() + ", see "
+                        + program.spec().log().getFileName());
+            }
+        }
+        programs.values().stream().filter(program -> program.name().startsWith("gateway-")).forEach(program -> {
+            program.wake();
+            program.term();
+        });
+        programs.values().forEach(Program::kill);
+        return crashed;
+    }
+
+    /** It has been ended by a fault, and is not to come back; or has come back. */
+    void meant(String name, boolean gone) {
+        if (gone) {
+            ended.add(name);
+        } else {
+            ended.remove(name);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        if (Thread.currentThread() != ender) {
+            Runtime.getRuntime().removeShutdownHook(ender);
+        }
+        renewals.forEach(Thread::interrupt);
+        programs.values().forEach(Program::kill);
+        lists.close();
+        links.values().forEach(each -> each.forEach(Link::close));
+        warden.close();
+        linkLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        ownLoop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        loadLoop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/StandInHost.java
@@ -0,0 +1,164 @@
+package mastdrift.rig;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import mastdrift.Balancer.Outcome;
+import mastdrift.common.Http;
+import mastdrift.common.Json;
+import mastdrift.common.Range;
+import mastdrift.lab.Agenda;
+import mastdrift.lab.Dice;
+import mastdrift.lab.Machine;
+
+/** A host's process: the lab's model of a machine behind a real socket, in real time. It speaks what PROTOCOL says of hosts
+    and writes down each request that it begins; it ends when its standard input does. */
+public final class StandInHost {
+
+    private static final int CHOKE_AT = 7;
+    private static final int TICK_MILLIS = 5;
+
+    private final EventLoop loop;
+    private final Agenda agenda = new Agenda();
+    private final long startedAt = System.nanoTime() / 1000;
+    private final Machine machine;
+    private final Dice dice;
+    private final Range workMs;
+    private final String name;
+    private final BufferedWriter events;
+    private long plan;
+
+    private StandInHost(EventLoop loop, String name, int cores, Range workMs, long seed, boolean cold, Path events)
+            throws IOException {
+        this.loop = loop;
+        this.name = name;
+        this.workMs = workMs;
+        this.events = Files.newBufferedWriter(events, StandardCharsets.UTF_8, StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
+        dice = new Dice(seed, name);
+        machine = new Machine(new Machine.Build(name, "", 0, "std", cores, 1, 8 * cores, 20 * cores, 0.5, 3_000_000, 0,
+                600 * cores, CHOKE_AT, 1_500_000, 2, 0.4, 2_000_000, 0.3, 12 * cores), agenda, dice);
+        machine.fallsAt(4, 1_000_000);
+        machine.fell = part -> {
+            write("fell", "part", part);
+            machine.start();
+        };
+        if (cold) {
+            machine.end();
+            machine.start();
+        }
+    }
+
+    /** Arguments: name, address, cores, least and most work in milliseconds, seed, whether it is cold, file of events. */
+    public static void main(String[] args) throws IOException {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        StandInHost host = new StandInHost(loop, args[0], Integer.parseInt(args[2]),
+                new Range(Double.parseDouble(args[3]), Double.parseDouble(args[4])), Long.parseLong(args[5]),
+                Boolean.parseBoolean(args[6]), Path.of(args[7]));
+        Http.listen(loop, Http.address(args[1]), host::handle);
+        loop.scheduleWithFixedDelay(host::turn, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        System.out.println("listening on " + args[1]);
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.equals("drain")) {
+                loop.execute(() -> host.machine.leaving = true);
+            }
+        }
+        System.exit(0);
+    }
+
+    /** Plays what is due by now, and comes back when the next is. */
+    private void turn() {
+        agenda.runUntil(System.nanoTime() / 1000 - startedAt);
+        long next = agenda.next();
+        if (next != Long.MAX_VALUE) {
+            long mine = ++plan;
+            loop.schedule(() -> {
+                if (mine == plan) {
+                    turn();
+                }
+            }, Math.max(0, next - agenda.now()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void handle(Http.Call call) {
+        turn();
+        switch (call.path()) {
+            case "/health" -> call.answer(200, "text/plain", "well\n");
+            case "/status/load" -> call.answer(200, "text/plain", load());
+            default -> request(call);
+        }
+        turn();
+    }
+
+    private String load() {
+        return String.format(Locale.ROOT, "TEXT rps=%d, waiting=%d, cpu=%.2f", machine.held(), machine.waitingNow(),
+                machine.busy());
+    }
+
+    private void request(Http.Call call) {
+        String trace = call.header("X-Trace-Id");
+        if (trace == null) {
+            call.answer(404, "text/plain", "no id\n");
+            return;
+        }
+        long key = call.header("Idempotency-Key") == null ? trace.hashCode() : call.header("Idempotency-Key").hashCode();
+        boolean refused = machine.leaving;
+        long[] begun = {System.nanoTime() / 1000};
+        Machine.Job job = new Machine.Job(key, dice.in(workMs) * 1000 * dice.noise(1), outcome -> {
+            switch (outcome) {
+                case DELIVERED -> call.answer(200, "text/plain", body(trace));
+                case SHED -> call.answer(503, "text/plain", "full\n", "X-Never-Ran", "1");
+                default -> call.channel().close();
+            }
+            if (outcome == Outcome.SHED) {
+                begun[0] = 0;
+            }
+        });
+        call.channel().closeFuture().addListener(ended -> job.drop(true));
+        machine.arrive(job, true);
+        if (begun[0] != 0) {
+            write("begin", "trace", trace, "key", call.header("Idempotency-Key"), "leaving", refused);
+        } else {
+            write("shed", "trace", trace, "leaving", refused);
+        }
+    }
+
+    /** What a host answers to the request with that id: the client knows by it that its answer is its own. */
+    static String body(String trace) {
+        return "done " + trace;
+    }
+
+    private void write(String op, Object... facts) {
+        Map<String, Object> all = new LinkedHashMap<>();
+        long now = System.nanoTime() / 1000;
+        all.put("start", now);
+        all.put("end", now);
+        all.put("by", name);
+        all.put("op", op);
+        for (int i = 0; i < facts.length; i += 2) {
+            if (facts[i + 1] != null) {
+                all.put(facts[i].toString(), facts[i + 1]);
+            }
+        }
+        try {
+            events.write(Json.text(all) + "\n");
+            events.flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/ViewCheck.java
@@ -0,0 +1,55 @@
+package mastdrift.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mastdrift.rig.History.Event;
+
+/** Events {@code view} with {@code number} and {@code members}: a number has one content, nobody goes back, and all have the
+    newest within the bound that the event {@code healed} names in {@code within_ms}. */
+final class ViewCheck implements Check {
+
+    @Override
+    public Verdict look(History history) {
+        List<String> breaches = new ArrayList<>();
+        Map<Long, Event> contents = new HashMap<>();
+        Map<String, Long> latest = new HashMap<>();
+        Set<String> all = new HashSet<>();
+        Event healed = null;
+        Map<String, Long> atBound = new HashMap<>();
+        for (Event event : history.events()) {
+            if (event.op().equals("healed")) {
+                healed = event;
+            }
+            if (!event.op().equals("view")) {
+                continue;
+            }
+            all.add(event.by());
+            long number = event.number("number", 0);
+            Event before = contents.putIfAbsent(number, event);
+            if (before != null && !before.facts().get("members").equals(event.facts().get("members"))) {
+                breaches.add("view " + number + " has two contents, one with " + before.by() + " and one with " + event.by());
+            }
+            Long last = latest.put(event.by(), number);
+            if (last != null && number < last) {
+                breaches.add(event.by() + " went back from view " + last + " to " + number);
+            }
+            if (healed == null || event.start() <= healed.start() + healed.number("within_ms", 0) * 1000) {
+                atBound.put(event.by(), number);
+            }
+        }
+        long newest = atBound.values().stream().mapToLong(Long::longValue).max().orElse(0);
+        if (healed != null) {
+            for (String by : all) {
+                if (atBound.getOrDefault(by, 0L) < newest) {
+                    breaches.add(by + " had view " + atBound.get(by) + " when others had " + newest + ", "
+                            + healed.number("within_ms", 0) + " ms after the healing");
+                }
+            }
+        }
+        return Verdict.of("views", breaches);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Warden.java
@@ -0,0 +1,70 @@
+package mastdrift.rig;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+
+/** Ends the rig's processes when the rig itself was killed: a shell that is told their ids, and kills those that still run
+    once the pipe from the rig has ended. */
+final class Warden implements AutoCloseable {
+
+    private static final String SCRIPT = """
+            trap '' INT TERM HUP
+            pids=" "
+            while read -r what pid; do
+              case $what in
+                began) pids="$pids$pid " ;;
+                ended) pids=$(printf '%s' "$pids" | sed "s/ $pid / /") ;;
+              esac
+            done
+            for pid in $pids; do kill -KILL "$pid" 2>/dev/null; done
+            """;
+
+    private final Process process;
+    private final Writer to;
+
+    Warden() {
+        try {
+            process = new ProcessBuilder("sh", "-c", SCRIPT).redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            to = process.outputWriter(StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void began(long pid) {
+        tell("began " + pid);
+    }
+
+    void ended(long pid) {
+        tell("ended " + pid);
+    }
+
+    private synchronized void tell(String line) {
+        try {
+            to.write(line + "\n");
+            to.flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException("the warden has gone", e);
+        }
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** Kills what still runs, too. */
+    @Override
+    public void close() {
+        try {
+            to.close();
+            process.waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/Work.java
@@ -0,0 +1,240 @@
+package mastdrift.rig;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import mastdrift.common.Backoff;
+import mastdrift.common.Follow;
+import mastdrift.common.Http;
+import mastdrift.common.Json;
+import mastdrift.lab.Dice;
+
+/** Callers of the list service: some put, compare and read entries, some watch; all that they do and are told goes into the
+    history. An entry's model holds the value, which no other write has. */
+final class Work implements AutoCloseable {
+
+    private static final Duration WITHIN = Duration.ofSeconds(3);
+    private static final int SILENCE_MILLIS = 5000;
+
+    private final RigPlan.Work plan;
+    private final List<String> replicas;  // where callers reach them
+    private final History history;
+    private final EventLoop loop;
+    private final long seed;
+    private final AtomicLong values = new AtomicLong();
+    private final List<Thread> threads = new ArrayList<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private volatile boolean over;
+
+    Work(RigPlan.Work plan, List<String> replicas, EventLoop loop, long seed, History history) {
+        this.plan = plan;
+        this.replicas = replicas;
+        this.loop = loop;
+        this.seed = seed;
+        this.history = history;
+    }
+
+    void start() {
+        double rate = new Dice(seed, "work").in(plan.rate());
+        for (int i = 0; i < plan.writers(); i++) {
+            int number = i;
+            Thread thread = new Thread(() -> write("writer-" + number, new Dice(seed, "writer-" + number), rate));
+            thread.start();
+            threads.add(thread);
+        }
+        for (int i = 0; i < plan.watchers(); i++) {
+            Watcher watcher = new Watcher("watcher-" + i, new Dice(seed, "watcher-" + i));
+            watchers.add(watcher);
+            loop.execute(watcher::follow);
+        }
+    }
+
+    /** No more writes; who watches goes on. */
+    void stopWriting() throws InterruptedException {
+        over = true;
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private void write(String name, Dice dice, double rate) {
+        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(WITHIN).build();
+        Map<String, Long> seen = new HashMap<>();  // revisions by key, for compare-and-set
+        try {
+            while (!over) {
+                String key = "entry-" + dice.below(plan.entries());
+                String at = replicas.get(dice.below(replicas.size()));
+                double what = dice.unit();
+                if (what < 0.4) {
+                    read(client, name, at, key, seen, "read");
+                } else {
+                    boolean compare = what < 0.6 && seen.containsKey(key);
+                    change(client, name, at, key, compare ? seen.get(key) : null, seen);
+                }
+                Thread.sleep((long) Math.min(2000, dice.exponential(1000 / rate)));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void change(HttpClient client, String name, String at, String key, Long compared, Map<String, Long> seen)
+            throws InterruptedException {
+        String value = "v" + values.incrementAndGet();
+        Map<String, Object> facts = new HashMap<>(Map.of("key", key, "value", value, "at", at));
+        if (compared != null) {
+            facts.put("if_rev", compared);
+        }
+        String body = Json.text(Map.of("endpoint", "127.0.0.1:1", "az", "z", "model", value, "lease_ms", plan.leaseMs()));
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + at + "/v1/entries/" + key
+                + (compared == null ? "" : "?if_rev=" + compared))).timeout(WITHIN)
+                .PUT(HttpRequest.BodyPublishers.ofString(body)).build();
+        long start = History.now();
+        long end = History.NEVER;
+        try {
+            HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+            int status = answer.statusCode();
+            facts.put("status", status);
+            if (status == 200 || status == 409) {
+                end = History.now();
+                facts.put("ok", status == 200);
+                long rev = ((Number) Json.object(answer.body()).get("rev")).longValue();
+                seen.put(key, rev);
+                if (status == 200) {
+                    facts.put("rev", rev);
+                }
+            } else if (status == 503) {
+                end = History.now();
+                facts.put("outcome", "refused");
+            }
+        } catch (ConnectException | java.net.http.HttpConnectTimeoutException e) {
+            end = History.now();
+            facts.put("outcome", "refused");  // it never left
+        } catch (IOException | IllegalArgumentException e) {
+            facts.put("error", String.valueOf(e.getMessage()));
+        }
+        history.add(start, end, name, compared == null ? "put" : "cas", facts);
+    }
+
+    private boolean read(HttpClient client, String name, String at, String key, Map<String, Long> seen, String op)
+            throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + at + "/v1/entries/" + key)).timeout(WITHIN)
+                .build();
+        long start = History.now();
+        try {
+            HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+            if (answer.statusCode() != 200 && answer.statusCode() != 404) {
+                return false;
+            }
+            Map<String, Object> entry = answer.statusCode() == 404 ? Map.of() : Json.object(answer.body());
+            Map<String, Object> facts = new HashMap<>(Map.of("key", key, "at", at));
+            facts.put("value", entry.get("model"));
+            facts.put("rev", entry.getOrDefault("rev", 0L));
+            if (entry.get("rev") instanceof Number rev) {
+                seen.put(key, rev.longValue());
+            }
+            history.add(start, History.now(), name, op, facts);
+            return true;
+        } catch (IOException | IllegalArgumentException e) {
+            return false;  // nothing was learned
+        }
+    }
+
+    /** What there is in the end, of each entry and on each replica. Throws IllegalStateException where no replica answers
+        any more, though all faults are over. */
+    void readLast() throws InterruptedException {
+        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(WITHIN).build();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        for (int i = 0; i < plan.entries(); i++) {
+            int turn = 0;
+            while (!read(client, "rig", replicas.get(turn++ % replicas.size()), "entry-" + i, new HashMap<>(), "final")) {
+                if (System.nanoTime() > end) {
+                    throw new IllegalStateException("the list service does not answer though all faults are over");
+                }
+                Thread.sleep(50);
+            }
+        }
+        for (String at : replicas) {
+            try {
+                String list = client.send(HttpRequest.newBuilder(URI.create("http://" + at + "/v1/endpoints"))
+                        .timeout(WITHIN).build(), HttpResponse.BodyHandlers.ofString()).body();
+                told("replica " + at, list);
+            } catch (IOException e) {
+                throw new IllegalStateException("replica " + at + " does not answer though all faults are over", e);
+            }
+        }
+    }
+
+    private void told(String by, String line) {
+        Map<String, Object> list = Json.object(line);
+        Map<String, Object> values = new HashMap<>();
+        for (Object each : (List<?>) list.get("targets")) {
+            Map<?, ?> target = (Map<?, ?>) each;
+            values.put(target.get("uid").toString(), "terminated".equals(target.get("state")) ? null : target.get("model"));
+        }
+        long now = History.now();
+        history.add(now, now, by, "line", Map.of("rev", ((Number) list.get("rev")).longValue(), "all", list.get("all"),
+                "values", values));
+    }
+
+    @Override
+    public void close() {
+        over = true;
+        threads.forEach(Thread::interrupt);
+        loop.submit(() -> watchers.forEach(Watcher::stop)).syncUninterruptibly();
+    }
+
+    /** Follows one replica after the other, each from the revision that it has. */
+    private final class Watcher {
+
+        private final String name;
+        private final Dice dice;
+        private final Backoff backoff;
+        private Follow follow;
+        private long rev;
+        private boolean stopped;
+
+        Watcher(String name, Dice dice) {
+            this.name = name;
+            this.dice = dice;
+            backoff = new Backoff(20, 500, dice::unit);
+        }
+
+        void follow() {
+            if (stopped) {
+                return;
+            }
+            InetSocketAddress at = Http.address(replicas.get(dice.below(replicas.size())));
+            follow = Follow.begin(loop, at, "/v1/endpoints?watch=1&from=" + rev,
+                    Map.of("X-Least-Revision", Long.toString(rev)), 1000, SILENCE_MILLIS, this::take,
+                    cause -> loop.schedule(this::follow, backoff.next(), TimeUnit.MILLISECONDS));
+        }
+
+        private void take(String line) {
+            if (!line.isBlank()) {
+                backoff.reset();
+                told(name, line);
+                rev = ((Number) Json.object(line).get("rev")).longValue();
+            }
+        }
+
+        void stop() {
+            stopped = true;
+            if (follow != null) {
+                follow.stop();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/mastdrift/rig/ChecksTest.java
@@ -0,0 +1,206 @@
+package mastdrift.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Each checker is shown a history that is right, and the same one made wrong. */
+class ChecksTest {
+
+    private final History history = new History();
+
+    private void add(long start, long end, String by, String op, Object... facts) {
+        Map<String, Object> all = new HashMap<>();
+        for (int i = 0; i < facts.length; i += 2) {
+            all.put(facts[i].toString(), facts[i + 1]);
+        }
+        history.add(start, end, by, op, all);
+    }
+
+    private Check.Verdict look(String check) {
+        return Checks.look(List.of(check), history).get(0);
+    }
+
+    private void breaks(String check, String part) {
+        Check.Verdict verdict = look(check);
+        assertFalse(verdict.held(), check + " held");
+        assertTrue(verdict.breaches().stream().anyMatch(breach -> breach.contains(part)), verdict.breaches().toString());
+    }
+
+    private void put(long start, long end, String value, long rev) {
+        add(start, end, "w", "put", "key", "k", "value", value, "rev", rev, "ok", true);
+    }
+
+    @Test
+    void overlappingWritesMayTakeEffectInEitherOrder() {
+        put(1, 10, "a", 5);
+        put(2, 9, "b", 4);
+        add(11, 12, "r", "read", "key", "k", "value", "a", "rev", 5L);
+        assertTrue(look("linearizable").held());
+        add(13, 14, "r", "read", "key", "k", "value", "b", "rev", 4L);
+        breaks("linearizable", "4 calls on k can't be put in one order");
+    }
+
+    @Test
+    void aStaleReadIsFound() {
+        put(1, 2, "a", 1);
+        put(3, 4, "b", 2);
+        add(5, 6, "r", "read", "key", "k", "value", "a", "rev", 1L);
+        breaks("linearizable", "on k");
+    }
+
+    @Test
+    void twoWhoCompareWithOneRevisionCanNotBothSucceed() {
+        put(1, 2, "a", 1);
+        add(3, 9, "c1", "cas", "key", "k", "if_rev", 1L, "value", "b", "rev", 2L, "ok", true);
+        add(4, 8, "c2", "cas", "key", "k", "if_rev", 1L, "value", "c", "ok", false);
+        assertTrue(look("linearizable").held());
+        add(5, 9, "c3", "cas", "key", "k", "if_rev", 1L, "value", "d", "rev", 3L, "ok", true);
+        breaks("linearizable", "on k");
+    }
+
+    /** What nobody heard of may have taken effect, or not, but not undone itself. */
+    @Test
+    void aWriteOfWhichNobodyHeardMayShowOrNot() {
+        put(1, 2, "a", 1);
+        add(3, History.NEVER, "w", "put", "key", "k", "value", "lost");
+        add(5, 6, "r", "read", "key", "k", "value", "a", "rev", 1L);
+        add(7, 8, "r", "read", "key", "k", "value", "lost", "rev", 2L);
+        assertTrue(look("linearizable").held());
+        add(9, 10, "r", "read", "key", "k", "value", "a", "rev", 1L);
+        breaks("linearizable", "on k");
+    }
+
+    @Test
+    void aSearchThatRunsOutSaysSo() {
+        record Any(long start, long end) implements Linearizability.Call<Integer> {
+            @Override
+            public java.util.Optional<Integer> after(Integer state) {
+                return state >= 10 ? java.util.Optional.empty() : java.util.Optional.of(state + 1);
+            }
+        }
+
+        List<Any> calls = java.util.stream.IntStream.range(0, 12).mapToObj(i -> new Any(1, 2)).toList();
+        assertEquals(Linearizability.Answer.OUT_OF_BUDGET, Linearizability.of(calls, 0, 1000));
+        assertEquals(Linearizability.Answer.NO, Linearizability.of(calls.subList(0, 11), 0, 100_000_000));
+        assertEquals(Linearizability.Answer.YES, Linearizability.of(calls.subList(0, 10), 0, 1000));
+    }
+
+    @Test
+    void aLostAcknowledgedWriteIsFound() {
+        put(1, 2, "a", 1);
+        put(3, 4, "b", 2);
+        add(9, 9, "rig", "final", "key", "k", "value", "b");
+        assertTrue(look("acknowledged").held());
+        add(10, 10, "rig", "final", "key", "k", "value", "a");
+        breaks("acknowledged", "acknowledged write b of k, revision 2, is lost");
+    }
+
+    @Test
+    void aRevisionThatIsGivenTwiceIsFound() {
+        put(1, 2, "a", 1);
+        put(3, 4, "b", 1);
+        add(9, 9, "rig", "final", "key", "k", "value", "b");
+        breaks("acknowledged", "revision 1 was given to a and to b");
+    }
+
+    @Test
+    void watchersAreToldAllInOrderAndTheSame() {
+        put(1, 2, "a", 1);
+        put(3, 4, "b", 2);
+        add(2, 2, "one", "line", "rev", 1L, "all", true, "values", Map.of("k", "a"));
+        add(5, 5, "one", "line", "rev", 2L, "all", false, "values", Map.of("k", "b"));
+        add(5, 5, "two", "line", "rev", 2L, "all", true, "values", Map.of("k", "b"));
+        assertTrue(look("watches").held());
+        add(6, 6, "one", "line", "rev", 1L, "all", false, "values", Map.of("k", "a"));
+        breaks("watches", "one was told revision 1 after 2");
+    }
+
+    @Test
+    void aChangeThatAWatcherMissedIsFound() {
+        put(1, 2, "a", 1);
+        put(3, 4, "b", 2);
+        add(2, 2, "one", "line", "rev", 1L, "all", true, "values", Map.of("k", "a"));
+        add(5, 5, "one", "line", "rev", 3L, "all", false, "values", Map.of("other", "x"));
+        breaks("watches", "one has a for k at revision 3, where b was written at 2");
+    }
+
+    @Test
+    void oneRevisionWithTwoContentsIsFound() {
+        add(2, 2, "one", "line", "rev", 1L, "all", true, "values", Map.of("k", "a"));
+        add(2, 2, "two", "line", "rev", 1L, "all", true, "values", Map.of("k", "b"));
+        breaks("watches", "revision 1 has two contents");
+    }
+
+    @Test
+    void anOldHolderWithAnEffectIsFound() {
+        add(1, 1, "one", "granted", "lease", "roll", "token", 1L);
+        add(2, 2, "one", "effect", "lease", "roll", "token", 1L, "step", "s1");
+        add(3, 3, "two", "granted", "lease", "roll", "token", 2L);
+        add(4, 4, "two", "effect", "lease", "roll", "token", 2L, "step", "s2");
+        assertTrue(look("holders").held());
+        add(5, 5, "one", "effect", "lease", "roll", "token", 1L, "step", "s2");
+        breaks("holders", "one had an effect with token 1 of roll after two");
+        breaks("holders", "step s2 of roll took place with two and with one");
+        add(6, 6, "three", "granted", "lease", "roll", "token", 2L);
+        breaks("holders", "token 2 of roll was given to two and to three");
+    }
+
+    @Test
+    void membersWhoDisagreeAfterTheHealingAreFound() {
+        add(1, 1, "a", "view", "number", 1L, "members", List.of("a", "b"));
+        add(2, 2, "b", "view", "number", 1L, "members", List.of("a", "b"));
+        add(3, 3, "rig", "healed", "within_ms", 10L);
+        add(4, 4, "a", "view", "number", 2L, "members", List.of("a"));
+        add(5, 5, "b", "view", "number", 2L, "members", List.of("a"));
+        assertTrue(look("views").held());
+        add(6, 6, "a", "view", "number", 3L, "members", List.of("a", "c"));
+        breaks("views", "b had view 2 when others had 3");
+        add(7, 7, "b", "view", "number", 3L, "members", List.of("b"));
+        breaks("views", "view 3 has two contents");
+    }
+
+    private void request(long start, String trace, String type, String outcome) {
+        add(start, start + 100, "clients", "request", "trace", trace, "class", type, "outcome", outcome, "gateway",
+                "gateway-1");
+    }
+
+    @Test
+    void theRulesAreKeptByAGatewayThatWasKilled() {
+        request(1, "1", "fechamento", "served");
+        add(2, 2, "host-a-1", "begin", "trace", "1");
+        request(200, "2", "consulta", "lost");
+        add(250, 900, "rig", "fault", "kind", "kill", "processes", List.of("gateway-1"));
+        assertTrue(look("rules").held(), look("rules").toString());
+    }
+
+    @Test
+    void eachBrokenRuleIsFound() {
+        request(1, "1", "fechamento", "served");
+        add(2, 2, "host-a-1", "begin", "trace", "1");
+        add(3, 3, "host-a-2", "begin", "trace", "1");
+        breaks("rules", "unsafe request 1 begun 2 times");
+        request(10, "2", "leitura", "served");
+        add(11, 11, "host-a-1", "begin", "trace", "2");
+        add(12, 12, "host-b-1", "begin", "trace", "2");
+        breaks("rules", "keyed request 2 begun in more zones");
+        request(20, "3", "leitura", "refused");
+        add(21, 21, "host-a-1", "begin", "trace", "3");
+        breaks("rules", "3 refused though a host had begun it");
+        request(30, "4", "consulta", "unanswered");
+        breaks("rules", "4 unanswered by gateway-1");
+        request(40, "5", "consulta", "foreign");
+        breaks("rules", "5 was served with another's answer");
+        add(100, 100, "discovery", "listed", "host", "host-a-1", "state", "terminating");
+        request(9_000_000, "6", "consulta", "served");
+        add(9_000_001, 9_000_001, "host-a-1", "begin", "trace", "6");
+        breaks("rules", "sent to host-a-1 8999 ms after its drain was told");
+        add(9_000_002, 9_000_002, "host-b-1", "fell", "part", 1.0);
+        breaks("rules", "host-b-1 pressed down while cold");
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/mastdrift/rig/LinkTest.java
@@ -0,0 +1,200 @@
+package mastdrift.rig;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What each fault does to bytes that are on their way. Nothing is waited for by time but silence, which a slow machine only
+    makes longer. */
+class LinkTest {
+
+    private static final int WAIT_MILLIS = 30_000;  // for what has to come
+    private static final int SILENCE_MILLIS = 300;  // of what must not come
+
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private ServerSocket called;
+    private Link link;
+    private InetSocketAddress at;
+
+    @BeforeEach
+    void open() throws IOException {
+        called = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        called.setSoTimeout(WAIT_MILLIS);
+        at = new InetSocketAddress("127.199.0.1", Addresses.port("127.199.0.1"));
+        link = Link.open(loop, at, new InetSocketAddress("127.0.0.1", called.getLocalPort()), () -> 0.5);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        link.close();
+        called.close();
+        loop.parent().shutdownGracefully();
+    }
+
+    private static Fault fault(Fault.Kind kind, Link.Way way, double size) {
+        return new Fault(0, kind, 0, 0, List.of(), List.of(), way, size, 0, Fault.Back.KEEP, null, 1);
+    }
+
+    private Socket dial() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(at, WAIT_MILLIS);
+        socket.setSoTimeout(WAIT_MILLIS);
+        return socket;
+    }
+
+    private Socket accept() throws IOException {
+        Socket socket = called.accept();
+        socket.setSoTimeout(WAIT_MILLIS);
+        return socket;
+    }
+
+    private static void say(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void hears(Socket socket, String text) throws IOException {
+        assertArrayEquals(text.getBytes(StandardCharsets.UTF_8), socket.getInputStream().readNBytes(text.length()));
+    }
+
+    private static void hearsNothing(Socket socket) throws IOException {
+        socket.setSoTimeout(SILENCE_MILLIS);
+        assertThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
+        socket.setSoTimeout(WAIT_MILLIS);
+    }
+
+    @Test
+    void bytesAndEndsPassBothWays() throws IOException {
+        try (Socket caller = dial(); Socket host = accept()) {
+            say(caller, "there");
+            hears(host, "there");
+            say(host, "back");
+            host.close();
+            hears(caller, "back");
+            assertEquals(-1, caller.getInputStream().read());
+        }
+    }
+
+    @Test
+    void aCutOneWayHoldsThatWayAndHealsWithNothingLost() throws IOException {
+        try (Socket caller = dial(); Socket host = accept()) {
+            say(caller, "0");
+            hears(host, "0");
+            link.begin(fault(Fault.Kind.CUT, Link.Way.THERE, 0));
+            say(caller, "held");
+            say(host, "heard");
+            hears(caller, "heard");
+            hearsNothing(host);
+            link.heal();
+            hears(host, "held");
+        }
+    }
+
+    @Test
+    void noConnectionComesUpThroughACutAndOneDoesAfterIt() throws Exception {
+        link.begin(fault(Fault.Kind.CUT, Link.Way.BOTH, 0));
+        // The system completes a few before its queue is full: none of them reaches the other side, and then none comes up.
+        boolean[] refused = {false};
+        for (int i = 0; i < 200 && !refused[0]; i++) {
+            Socket socket = new Socket();
+            try {
+                socket.connect(at, SILENCE_MILLIS);
+            } catch (SocketTimeoutException e) {
+                refused[0] = true;
+            }
+        }
+        assertEquals(true, refused[0]);
+        link.heal();
+        try (Socket caller = dial()) {
+            say(caller, "again");
+            for (Socket host = accept(); ; host = accept()) {
+                host.setSoTimeout(SILENCE_MILLIS);
+                try {
+                    if (host.getInputStream().read() == 'a') {
+                        return;
+                    }
+                } catch (SocketTimeoutException | SocketException e) {
+                    continue;  // one of those that came in the meantime
+                }
+            }
+        }
+    }
+
+    @Test
+    void aSilentOneIsAcceptedAndHeardAfterwards() throws IOException {
+        link.begin(fault(Fault.Kind.SILENT, Link.Way.BOTH, 0));
+        try (Socket caller = dial()) {
+            say(caller, "hello");
+            hearsNothing(caller);
+            link.heal();
+            try (Socket host = accept()) {
+                hears(host, "hello");
+            }
+        }
+    }
+
+    @Test
+    void aRefusingOneResetsAndRefuses() throws IOException {
+        try (Socket caller = dial(); Socket host = accept()) {
+            say(caller, "0");
+            hears(host, "0");
+            link.begin(fault(Fault.Kind.REFUSE, Link.Way.BOTH, 0));
+            assertThrows(SocketException.class, () -> caller.getInputStream().read());
+            assertThrows(ConnectException.class, this::dial);
+            link.heal();
+            try (Socket again = dial(); Socket other = accept()) {
+                say(again, "1");
+                hears(other, "1");
+            }
+        }
+    }
+
+    @Test
+    void aStallEndsInTheMiddleAndAResetAtItsByte() throws IOException {
+        link.begin(fault(Fault.Kind.STALL, Link.Way.THERE, 4));
+        try (Socket caller = dial(); Socket host = accept()) {
+            say(caller, "12345678");
+            hears(host, "1234");
+            hearsNothing(host);
+            link.heal();
+            hears(host, "5678");
+            link.begin(fault(Fault.Kind.RESET, Link.Way.THERE, 2));
+            say(caller, "abc");
+            assertThrows(SocketException.class, () -> caller.getInputStream().read());
+        }
+    }
+
+    @Test
+    void delayAndTrickleLoseNothingAndKeepTheOrder() throws IOException {
+        try (Socket caller = dial(); Socket host = accept()) {
+            link.begin(fault(Fault.Kind.DELAY, Link.Way.THERE, 20));
+            long before = System.nanoTime();
+            for (int i = 0; i < 10; i++) {
+                say(caller, Integer.toString(i));
+            }
+            hears(host, "0123456789");
+            assertEquals(true, System.nanoTime() - before >= 20_000_000);
+            link.begin(fault(Fault.Kind.TRICKLE, Link.Way.THERE, 1000));
+            before = System.nanoTime();
+            say(caller, "x".repeat(100));
+            hears(host, "x".repeat(100));
+            assertEquals(true, System.nanoTime() - before >= 80_000_000);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/mastdrift/rig/PlanTest.java
@@ -0,0 +1,83 @@
+package mastdrift.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import mastdrift.common.TomlFile;
+import org.junit.jupiter.api.Test;
+
+class PlanTest {
+
+    private static final String GATEWAYS = """
+            name = "some"
+            [gateways]
+            count = 4
+            [hosts]
+            count = 6
+            [load]
+            rate = 100
+            [[fault]]
+            kind = "cut"
+            from = "gateway-1|gateway-2"
+            to = "host-a-*"
+            way = "back"
+            at_s = [1, 3]
+            [[fault]]
+            kind = "kill"
+            process = "gateway-*"
+            pick = 2
+            times = 2
+            """;
+
+    @Test
+    void theSameSeedDrawsTheSameFaults() throws Exception {
+        RigPlan plan = PlanFile.parse(GATEWAYS, "some.toml");
+        List<String> names = Stage.names(plan);
+        List<Fault> faults = Draw.faults(plan, names, 7);
+        assertEquals(faults, Draw.faults(PlanFile.parse(GATEWAYS, "some.toml"), names, 7));
+        assertNotEquals(faults, Draw.faults(plan, names, 8));
+        assertEquals(3, faults.size());
+        assertEquals(List.of("gateway-1", "gateway-2"), faults.get(0).processes());
+        assertEquals(List.of("host-a-1", "host-a-2"), faults.get(0).others());
+        assertEquals(Link.Way.BACK, faults.get(0).way());
+        assertEquals(2, faults.get(1).processes().size());
+    }
+
+    /** A fault that is added moves nothing of the others: a plan can grow and its seeds stay what they were. */
+    @Test
+    void aFurtherFaultMovesNoOther() throws Exception {
+        RigPlan plan = PlanFile.parse(GATEWAYS, "some.toml");
+        RigPlan more = PlanFile.parse(GATEWAYS + "[[fault]]\nkind = \"freeze\"\nprocess = \"gateway-*\"\n", "more.toml");
+        assertEquals(Draw.faults(plan, Stage.names(plan), 3), Draw.faults(more, Stage.names(more), 3).subList(0, 3));
+    }
+
+    @Test
+    void allThatIsWrongIsToldAtOnceWithItsLine() {
+        TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> PlanFile.parse("""
+                name = "odd"
+                relay = false
+                check = ["rules", "luck"]
+                [load]
+                rate = 5
+                [[fault]]
+                kind = "cut"
+                from = "gateway-*"
+                [[fault]]
+                kind = "melt"
+                [[fault]]
+                kind = "kill"
+                process = "gateway-1"
+                when = "("
+                pikc = 2
+                """, "odd.toml"));
+        String all = faults.getMessage();
+        for (String part : List.of("odd.toml:5: load.rate: needs [gateways] and [hosts]",
+                "odd.toml:3: check: expected some of", "odd.toml:7: fault[0].kind: needs from and to",
+                "odd.toml:7: fault[0].kind: needs links", "odd.toml:10: fault[1].kind: expected one of cut",
+                "odd.toml:14: fault[2].when: expected a regular expression", "odd.toml:15: fault[2].pikc: unknown key")) {
+            assertEquals(true, all.contains(part), part + " is not in:\n" + all);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/mastdrift/rig/PlayTest.java
@@ -0,0 +1,154 @@
+package mastdrift.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Short plays with real processes. Verdicts hang on what happened; how long anything took is no part of them. */
+class PlayTest {
+
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+
+    @TempDir
+    private Path folder;
+
+    private Play.Outcome play(String text, long seed, String variant) throws Exception {
+        RigPlan plan = PlanFile.parse(text, "test.toml");
+        return Play.of(plan, seed, Draw.faults(plan, Stage.names(plan), seed), new Stage.Setting(ROOT, false, variant), 0,
+                folder.resolve("seed-" + seed));
+    }
+
+    private static final String GATEWAYS = """
+            name = "few"
+            seconds = 5
+            settle_s = 0
+            [gateways]
+            count = 2
+            [hosts]
+            count = 3
+            [load]
+            rate = 60
+            [[fault]]
+            kind = "cut"
+            from = "gateway-*"
+            to = "host-a-*"
+            way = "back"
+            at_s = 0.5
+            for_s = 1
+            [[fault]]
+            kind = "kill"
+            process = "gateway-*"
+            pick = 1
+            at_s = 2
+            for_s = 0.2
+            [[fault]]
+            kind = "freeze"
+            process = "gateway-1"
+            at_s = 1
+            for_s = 0.5
+            """;
+
+    @Test
+    void gatewaysKeepTheRulesAndThePageShowsIt() throws Exception {
+        Play.Outcome outcome = play(GATEWAYS, 1, Variants.NONE);
+        assertTrue(outcome.held(), outcome.verdicts().toString());
+        assertTrue((Integer) outcome.figures().get("served") > 0, outcome.figures().toString());
+        Report.write(folder, folder.resolve("report.html"));
+        String page = Files.readString(folder.resolve("report.html"), StandardCharsets.UTF_8);
+        assertTrue(page.contains("\"kind\":\"freeze\"") && page.contains("served_share"));
+    }
+
+    private static final String REGISTRY = """
+            name = "list"
+            seconds = 6
+            settle_s = 0
+            check = ["linearizable", "acknowledged", "watches"]
+            [registry]
+            replicas = 3
+            [work]
+            writers = 4
+            entries = 3
+            watchers = 3
+            rate = 30
+            [[fault]]
+            kind = "kill"
+            process = "@leader"
+            at_s = 1
+            for_s = 1
+            [[fault]]
+            kind = "refuse"
+            from = "clients"
+            to = "registry-*"
+            at_s = 4
+            for_s = 0.2
+            """;
+
+    @Test
+    void theListServiceLosesNothingWithItsLeader() throws Exception {
+        Play.Outcome outcome = play(REGISTRY, 2, Variants.NONE);
+        assertTrue(outcome.held(), outcome.verdicts().toString());
+        assertTrue((Integer) outcome.figures().get("writes") > 20, outcome.figures().toString());
+    }
+
+    @Test
+    void aServiceThatGivesARevisionTwiceIsCaught() throws Exception {
+        Play.Outcome outcome = play(REGISTRY, 3, Variants.REVISION_REUSED);
+        assertFalse(outcome.held(), outcome.verdicts().toString());
+    }
+
+    /** The rig itself is killed: the warden ends what it started. */
+    @Test
+    void whatTheRigStartedEndsWithIt() throws Exception {
+        Path pid = folder.resolve("pid");
+        Process rig = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), Doomed.class.getName(), pid.toString()).inheritIO().start();
+        for (int i = 0; i < 6000 && !(Files.exists(pid) && Files.size(pid) > 0); i++) {
+            Thread.sleep(10);
+        }
+        ProcessHandle child = ProcessHandle.of(Long.parseLong(Files.readString(pid).strip())).orElseThrow();
+        assertTrue(child.isAlive());
+        rig.destroyForcibly();
+        child.onExit().get(1, TimeUnit.MINUTES);
+        assertFalse(child.isAlive());
+    }
+
+    /** Starts a process that would run for long, and waits for its own end. */
+    static final class Doomed {
+
+        public static void main(String[] args) throws IOException, InterruptedException {
+            Path folder = Path.of(args[0]).getParent();
+            Program program = new Program(new Program.Spec("long", List.of("sleep", "600"), java.util.Map.of(),
+                    folder.resolve("long"), folder), new Warden());
+            program.start();
+            Path beside = Path.of(args[0] + ".part");
+            Files.writeString(beside, Long.toString(program.pid()));
+            Files.move(beside, Path.of(args[0]));
+            Thread.sleep(600_000);
+        }
+    }
+
+    @Test
+    void misuseHasAStatusOfItsOwn() throws Exception {
+        Path plan = folder.resolve("odd.toml");
+        Files.writeString(plan, "nmae = \"x\"\n");
+        StringWriter err = new StringWriter();
+        assertEquals(Rig.MISUSED, Rig.run(new String[] {"run", plan.toString()}, new PrintWriter(new StringWriter()),
+                new PrintWriter(err)));
+        assertTrue(err.toString().contains("odd.toml:1: nmae: unknown key"), err.toString());
+        Files.writeString(plan, "name = \"x\"\n");
+        assertEquals(Rig.MISUSED, Rig.run(new String[] {"run", plan.toString(), "--broken", "luck"},
+                new PrintWriter(new StringWriter()), new PrintWriter(err)));
+        assertTrue(err.toString().contains("--broken: expected one of repeats-all"), err.toString());
+    }
+}
