--- a/registry/src/main/java/mastdrift/registry/Catalogue.java
+++ b/registry/src/main/java/mastdrift/registry/Catalogue.java
@@ -48,6 +48,7 @@
 
     private final Listing listing = new Listing();
     private final Duties duties = new Duties();
+    private final Members processes = new Members();
     private final Map<String, Lease> leases = new HashMap<>();
     private final Map<String, Deque<Lapsed>> lapsed = new HashMap<>();  // by zone, the last term's
     private final Map<String, Long> leaving = new TreeMap<>();  // when those that were removed are gone
@@ -85,6 +86,7 @@
                 case "restore" -> fromBackup((Map<?, ?>) command.get("state"), news);
                 default -> {
                     Applied applied = duties.apply(command, time, news);
+                    applied = applied == null ? processes.apply(command, time, news) : applied;
                     yield applied == null ? no(400, "unknown command " + command.get("do"), news) : applied;
                 }
             };
@@ -102,9 +104,10 @@
         Map<String, Object> found = switch (Objects.toString(command.get("what"))) {
             case "entry" -> entry(Objects.toString(command.get("name")));
             case "duty" -> duties.shown(Objects.toString(command.get("name")));
+            case "members" -> processes.shown();
             case "list" -> Json.object(listing.whole().text());
             case "state" -> state();
-            default -> throw new IllegalArgumentException("what: expected entry, duty, list or state");
+            default -> throw new IllegalArgumentException("what: expected entry, duty, members, list or state");
         };
         return found == null ? no(404, "no " + command.get("what") + " " + command.get("name"), news)
                 : new Applied(200, found, news);
@@ -245,6 +248,7 @@
         leaving.replaceAll((uid, at) -> time + LEAVING_MILLIS);
         lapsed.clear();
         duties.reign(time);
+        processes.jump();
         news.add("restored entries=" + listing.size() + " rev=" + jumped);
         return new Applied(200, Map.of("rev", jumped, "entries", listing.size()), news);
     }
@@ -273,6 +277,7 @@
             }
         }
         duties.tick(time, news);
+        processes.tick(time, news);
         Map<String, List<String>> due = new TreeMap<>();
         leases.forEach((uid, lease) -> {
             if (lapses(uid, lease.until)) {
@@ -396,6 +401,7 @@
         state.put("lapsed", recent);
         state.put("duties", duties.state());
         state.put("members", members());
+        state.put("processes", processes.state());
         return state;
     }
 
@@ -437,6 +443,7 @@
                     ((Number) ((Map<?, ?>) member).get("mark")).longValue())));
         }
         duties.restore((Map<?, ?>) state.get("duties"));
+        processes.restore((Map<?, ?>) state.get("processes"));
         listing.floor(number(state, "floor", 0));
         listing.advance(number(state, "rev", 0));
         time = number(state, "time", 0);
--- a/registry/src/main/java/mastdrift/registry/Main.java
+++ b/registry/src/main/java/mastdrift/registry/Main.java
@@ -6,7 +6,8 @@
 import picocli.CommandLine.Command;
 
 /** The list service's commands alone; the springspar command has them too. */
-@Command(name = "registry", subcommands = {Commands.Registry.class, Commands.StartAgent.class, Commands.Endpoints.class})
+@Command(name = "registry", subcommands = {Commands.Registry.class, Commands.StartAgent.class, Commands.Endpoints.class,
+        DutyCommands.Duty.class, DutyCommands.RollCommand.class})
 public final class Main {
 
     private Main() { }
--- /dev/null
+++ b/registry/src/main/java/mastdrift/registry/Members.java
@@ -0,0 +1,320 @@
+package mastdrift.registry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** Who is present, as views that the log numbers, and who reports whom. Part of {@link Catalogue}, under whose lock it is; see
+    docs/members.md. */
+final class Members {
+
+    /** A process by its name, and which start of it. */
+    record Member(String name, String role, String zone, long incarnation, String version) {
+
+        Map<String, Object> shown() {
+            Map<String, Object> shown = new LinkedHashMap<>();
+            shown.put("name", name);
+            shown.put("role", role);
+            shown.put("zone", zone);
+            shown.put("incarnation", incarnation);
+            shown.put("version", version);
+            return shown;
+        }
+    }
+
+    /** So many watch each member, where there are that many others. */
+    static final int WATCHERS = 8;
+    /** From so many reports on it is sure, and from so many open; of fewer watchers in proportion. */
+    static final int HIGH = 6;
+    static final int LOW = 3;
+    /** So long a member may stay open by the log's time, before what speaks against it is let go of. */
+    static final long OPEN_MILLIS = 10_000;
+    static final long RESTORED_JUMP = 1_000_000;
+
+    private final Map<String, Member> present = new TreeMap<>();
+    private final Map<String, Long> gone = new TreeMap<>();  // the last incarnation of those that have left
+    private final Map<String, Set<String>> reports = new TreeMap<>();  // who reports a member, by it
+    private final Map<String, Long> openSince = new TreeMap<>();
+    private final Set<String> deaf = new TreeSet<>();
+    private Map<String, List<String>> watchers;  // of the present view; null until somebody asks
+    private long view;
+
+    long view() {
+        return view;
+    }
+
+    Collection<Member> present() {
+        return present.values();
+    }
+
+    /** Carries out a command; null where it is none. */
+    Catalogue.Applied apply(Map<String, Object> command, long time, List<String> news) {
+        String name = Objects.toString(command.get("name"));
+        long incarnation = Catalogue.number(command, "incarnation", 0);
+        switch (Objects.toString(command.get("do"))) {
+            case "join" -> {
+                return join(new Member(name, Objects.toString(command.get("role"), ""), Objects.toString(command.get("zone"), ""),
+                        incarnation, Objects.toString(command.get("version"), "")), news);
+            }
+            case "leave" -> {
+                Catalogue.Applied refused = refused(name, incarnation, news);
+                if (refused != null) {
+                    return refused;
+                }
+                change(List.of(name), "left", news);
+                return told(news);
+            }
+            case "report" -> {
+                Catalogue.Applied refused = refused(name, incarnation, news);
+                return refused != null ? refused : report(name, command, time, news);
+            }
+            default -> {
+                return null;
+            }
+        }
+    }
+
+    private Catalogue.Applied join(Member member, List<String> news) {
+        if (member.name.isBlank() || member.incarnation <= 0) {
+            throw new IllegalArgumentException("join needs a name and an incarnation above 0");
+        }
+        Member before = present.get(member.name);
+        long known = before != null ? before.incarnation : gone.getOrDefault(member.name, 0L);
+        if (member.equals(before)) {
+            return told(news);
+        }
+        if (member.incarnation <= known) {
+            news.add("member-refused " + member.name + " incarnation " + member.incarnation + ", there was " + known);
+            return new Catalogue.Applied(409, Map.of("error", "this name has had incarnation " + known, "incarnation", known,
+                    "view", view), news);
+        }
+        present.put(member.name, member);
+        gone.remove(member.name);
+        turned(member.name);
+        news.add("view " + view + ": joined " + member.name + "#" + member.incarnation);
+        return told(news);
+    }
+
+    /** One that was removed, or has been started anew elsewhere, learns so from whatever it says. */
+    private Catalogue.Applied refused(String name, long incarnation, List<String> news) {
+        Member member = present.get(name);
+        if (member != null && member.incarnation == incarnation) {
+            return null;
+        }
+        Map<String, Object> answer = new LinkedHashMap<>();
+        answer.put("error", member == null ? "not a member" : "incarnation " + member.incarnation + " is");
+        answer.put("view", view);
+        return new Catalogue.Applied(member == null ? 410 : 409, answer, news);
+    }
+
+    private Catalogue.Applied told(List<String> news) {
+        return new Catalogue.Applied(200, Map.of("view", view), news);
+    }
+
+    /** A watcher's whole opinion: whom of those that it watches it does not hear; {@code deaf} where it hears none. */
+    private Catalogue.Applied report(String by, Map<String, Object> command, long time, List<String> news) {
+        Set<String> silent = new TreeSet<>();
+        if (command.get("silent") instanceof List<?> names) {
+            names.forEach(each -> silent.add(each.toString()));
+        }
+        if (Boolean.TRUE.equals(command.get("deaf"))) {
+            deaf.add(by);
+            silent.clear();
+        } else {
+            deaf.remove(by);
+        }
+        watchers().forEach((subject, watching) -> {
+            if (watching.contains(by)) {
+                if (silent.contains(subject)) {
+                    reports.computeIfAbsent(subject, s -> new TreeSet<>()).add(by);
+                } else if (reports.containsKey(subject)) {
+                    reports.get(subject).remove(by);
+                }
+            }
+        });
+        reports.values().removeIf(Set::isEmpty);
+        decide(time, news);
+        return told(news);
+    }
+
+    /** How many watchers report it. Of one that is open already, watchers whom others report count as well: they may be gone
+        themselves, and then never will. Of any other they would only open more. */
+    private int against(String subject, Set<String> suspects) {
+        Set<String> reporting = reports.getOrDefault(subject, Set.of());
+        if (!suspects.contains(subject)) {
+            return reporting.size();
+        }
+        return (int) watchers().getOrDefault(subject, List.of()).stream()
+                .filter(by -> reporting.contains(by) || suspects.contains(by)).count();
+    }
+
+    private static int mark(int of, int watching) {
+        return Math.max(1, (int) Math.ceil((double) of * watching / WATCHERS));
+    }
+
+    private void decide(long time, List<String> news) {
+        Set<String> suspects = new TreeSet<>();
+        reports.forEach((subject, by) -> {
+            if (by.size() >= mark(LOW, watchers().getOrDefault(subject, List.of()).size())) {
+                suspects.add(subject);
+            }
+        });
+        List<String> sure = new ArrayList<>();
+        List<String> open = new ArrayList<>();
+        for (String subject : reports.keySet()) {
+            int watching = watchers().getOrDefault(subject, List.of()).size();
+            int against = against(subject, suspects);
+            if (against >= mark(HIGH, watching)) {
+                sure.add(subject);
+            } else if (against >= mark(LOW, watching)) {
+                open.add(subject);
+            }
+        }
+        openSince.keySet().retainAll(open);
+        open.forEach(subject -> openSince.putIfAbsent(subject, time));
+        // What stays open is between a few and the rest: nobody is held up by it, nor removed for it.
+        open.removeIf(subject -> time - openSince.get(subject) >= OPEN_MILLIS);
+        if (sure.isEmpty() || !open.isEmpty()) {
+            return;
+        }
+        if (2 * sure.size() > present.size()) {
+            news.add("members-held " + sure.size() + " of " + present.size() + " would go at once");
+            return;
+        }
+        change(sure, "removed", news);
+    }
+
+    /** Time has gone on: what was open for too long holds nothing up any more. */
+    void tick(long time, List<String> news) {
+        if (!openSince.isEmpty()) {
+            decide(time, news);
+        }
+    }
+
+    private void change(List<String> leaving, String how, List<String> news) {
+        leaving.forEach(name -> gone.put(name, present.remove(name).incarnation));
+        leaving.forEach(this::forget);
+        turned(null);
+        news.add("view " + view + ": " + how + " " + String.join(" ", leaving));
+    }
+
+    private void forget(String name) {
+        reports.remove(name);
+        reports.values().forEach(by -> by.remove(name));
+        reports.values().removeIf(Set::isEmpty);
+        openSince.remove(name);
+        deaf.remove(name);
+    }
+
+    /** A new view: reports by those who no longer watch whom they reported are void. */
+    private void turned(String fresh) {
+        view++;
+        if (fresh != null) {
+            forget(fresh);
+        }
+        watchers = null;
+        if (!reports.isEmpty()) {
+            reports.forEach((subject, by) -> by.retainAll(watchers().getOrDefault(subject, List.of())));
+            reports.values().removeIf(Set::isEmpty);
+        }
+    }
+
+    /** Who watches whom in the present view. */
+    Map<String, List<String>> watchers() {
+        watchers = watchers == null ? watching(present.values()) : watchers;
+        return watchers;
+    }
+
+    private record Weighed(Member of, long weight) { }
+
+    /** Who watches each member of a view: the same wherever it is computed. */
+    static Map<String, List<String>> watching(Collection<Member> view) {
+        Map<String, List<String>> watching = new HashMap<>();
+        for (Member subject : view) {
+            Map<String, List<Member>> byZone = new TreeMap<>();
+            view.stream().filter(other -> !other.name.equals(subject.name))
+                    .map(other -> new Weighed(other, weight(other.name, subject.name)))
+                    .sorted(Comparator.comparingLong(Weighed::weight))
+                    .forEach(other -> byZone.computeIfAbsent(other.of.zone, z -> new ArrayList<>()).add(other.of));
+            // Zones in turn, the order of zones a draw of its own for each member.
+            List<List<Member>> zones = new ArrayList<>(byZone.values());
+            zones.sort(Comparator.comparingLong(zone -> weight(zone.get(0).zone, subject.name)));
+            List<String> chosen = new ArrayList<>();
+            for (int round = 0; chosen.size() < WATCHERS && chosen.size() < view.size() - 1; round++) {
+                for (List<Member> zone : zones) {
+                    if (round < zone.size() && chosen.size() < WATCHERS) {
+                        chosen.add(zone.get(round).name);
+                    }
+                }
+            }
+            watching.put(subject.name, chosen);
+        }
+        return watching;
+    }
+
+    private static long weight(String of, String with) {
+        return MurmurHash3.hash128x64((of + '\0' + with).getBytes(StandardCharsets.UTF_8))[0];
+    }
+
+    /** The present view, and what is said of its members. */
+    Map<String, Object> shown() {
+        Map<String, Object> shown = new LinkedHashMap<>();
+        shown.put("view", view);
+        shown.put("members", present.values().stream().map(Member::shown).toList());
+        Map<String, Object> why = new TreeMap<>();
+        reports.forEach((subject, by) -> why.put(subject, List.copyOf(by)));
+        shown.put("reports", why);
+        shown.put("deaf", List.copyOf(deaf));
+        return shown;
+    }
+
+    Map<String, Object> state() {
+        Map<String, Object> state = shown();
+        state.put("gone", new TreeMap<>(gone));
+        state.put("open", new TreeMap<>(openSince));
+        return state;
+    }
+
+    /** What {@link #state} gave; null for a snapshot from before there were members. */
+    void restore(Map<?, ?> state) {
+        present.clear();
+        gone.clear();
+        reports.clear();
+        openSince.clear();
+        deaf.clear();
+        view = 0;
+        if (state != null) {
+            ((List<?>) state.get("members")).forEach(each -> {
+                Map<?, ?> one = (Map<?, ?>) each;
+                Member member = new Member(one.get("name").toString(), one.get("role").toString(), one.get("zone").toString(),
+                        ((Number) one.get("incarnation")).longValue(), one.get("version").toString());
+                present.put(member.name, member);
+            });
+            ((Map<?, ?>) state.get("gone")).forEach((name, last) -> gone.put(name.toString(), ((Number) last).longValue()));
+            ((Map<?, ?>) state.get("reports")).forEach((subject, by) -> {
+                Set<String> all = new TreeSet<>();
+                ((List<?>) by).forEach(each -> all.add(each.toString()));
+                reports.put(subject.toString(), all);
+            });
+            ((Map<?, ?>) state.get("open")).forEach((name, at) -> openSince.put(name.toString(), ((Number) at).longValue()));
+            ((List<?>) state.get("deaf")).forEach(each -> deaf.add(each.toString()));
+            view = ((Number) state.get("view")).longValue();
+        }
+        watchers = null;
+    }
+
+    /** From a backup: views that were seen since it was made are behind. */
+    void jump() {
+        view += RESTORED_JUMP;
+    }
+}
--- a/registry/src/main/java/mastdrift/registry/Replica.java
+++ b/registry/src/main/java/mastdrift/registry/Replica.java
@@ -297,6 +297,10 @@
         } else if (path.startsWith("/v1/entries/") && method.equals("DELETE")) {
             write(call, conditions(call, Catalogue.command("remove", "uid", path.substring("/v1/entries/".length()), "now",
                     "1".equals(call.query("now")))));
+        } else if (path.equals("/v1/members") && method.equals("GET")) {
+            write(call, Catalogue.command("read", "what", "members"));
+        } else if (path.startsWith("/v1/members/") && method.equals("POST")) {
+            member(call, path.substring("/v1/members/".length()).split("/"));
         } else if (path.equals("/v1/duties") && method.equals("GET")) {
             if ("1".equals(call.query("watch"))) {
                 dutyFeed.watch(call, call.number("from", 0));
@@ -312,6 +316,17 @@
         }
     }
 
+    /** {@code /v1/members/NAME/join}, {@code leave}, {@code report}: likewise. */
+    private void member(Http.Call call, String[] parts) throws IOException {
+        if (parts.length != 2 || !List.of("join", "leave", "report").contains(parts[1])) {
+            call.json(404, "{\"error\":\"no such call\"}");
+            return;
+        }
+        Map<String, Object> command = Catalogue.command(parts[1], "name", parts[0]);
+        Json.object(call.body()).forEach(command::putIfAbsent);
+        write(call, command);
+    }
+
     /** {@code /v1/duties/NAME/acquire}, {@code hold}, {@code release}, {@code record}, {@code order}: the body has the rest of the command. */
     private void duty(Http.Call call, String[] parts) throws IOException {
         if (parts.length != 2 || !List.of("acquire", "hold", "release", "record", "order").contains(parts[1])) {
--- /dev/null
+++ b/registry/src/test/java/mastdrift/registry/ServiceTest.java
@@ -0,0 +1,186 @@
+package mastdrift.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import mastdrift.common.Clock;
+import mastdrift.common.Disk;
+import mastdrift.common.Json;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One replica alone, an agent and the commands, all in this process. Waits are for what has to come, and far longer than it
+    takes. */
+class ServiceTest {
+
+    private static final int WAIT_SECONDS = 60;
+
+    @TempDir
+    private Path folder;
+    private Replica replica;
+    private int port;
+
+    private static int port() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private void start(String name) throws Exception {
+        int raft = port();
+        replica = new Replica(new Replica.Setup("registry-1", folder.resolve(name), new InetSocketAddress("127.0.0.1", 0),
+                new InetSocketAddress("127.0.0.1", raft), Map.of("registry-1", new Peers.Address("127.0.0.1:" + raft, "-")),
+                100), Clock.SYSTEM, new Catalogue(), new Disk());
+        port = replica.port();
+        replica.begin();
+        await(() -> replica.status().get("leader") != null);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        if (replica != null) {
+            replica.close();
+        }
+    }
+
+    private static void await(Callable<Boolean> come) throws Exception {
+        long end = System.nanoTime() + WAIT_SECONDS * 1_000_000_000L;
+        while (!come.call()) {
+            assertTrue(System.nanoTime() < end, "nothing came");
+            Thread.sleep(10);
+        }
+    }
+
+    private String out = "";
+    private String err = "";
+
+    private int run(String... args) {
+        StringWriter printed = new StringWriter();
+        StringWriter complained = new StringWriter();
+        List<String> all = new java.util.ArrayList<>(List.of(args));
+        all.add("--registry");
+        all.add("127.0.0.1:" + port);
+        int status = Main.run(all.toArray(String[]::new), new PrintWriter(printed, true), new PrintWriter(complained, true));
+        out = printed.toString();
+        err = complained.toString();
+        return status;
+    }
+
+    @Test
+    void staffPutListDrainRemoveBackUpAndRestore() throws Exception {
+        start("one");
+        assertEquals(0, run("endpoints", "put", "host-1", "127.0.0.1:9000", "--zone", "a"));
+        assertEquals("host-1 at revision 1", out.strip());
+        assertEquals(1, run("endpoints", "put", "host-1", "127.0.0.1:9001", "--if-rev", "7"));
+        assertEquals("its revision is another", err.strip());
+        assertEquals(1, run("endpoints", "put", "host-2", "nowhere"));
+        assertTrue(err.contains("endpoint: expected address:port, not nowhere"), err);
+        assertEquals(0, run("endpoints", "drain", "host-1"));
+        assertEquals(0, run("endpoints", "list"));
+        assertTrue(out.contains("host-1") && out.contains("terminating") && out.contains("revision 2"), out);
+        assertEquals(0, run("endpoints", "list", "--json"));
+        assertEquals(2, Json.object(out).get("rev"));
+        assertEquals(0, run("endpoints", "watch", "--lines", "1"));
+        assertTrue(out.contains("\"uid\":\"host-1\""), out);
+        Path backup = folder.resolve("backup");
+        assertEquals(0, run("registry", "backup", backup.toString()));
+        assertEquals(1, run("registry", "restore", backup.toString()));
+        assertTrue(err.contains("the list is not empty"), err);
+        assertEquals(0, run("endpoints", "remove", "host-1", "--now"));
+        assertEquals(1, run("endpoints", "remove", "host-1"));
+        assertEquals("no entry host-1", err.strip());
+        assertEquals(0, run("registry", "restore", backup.toString()));
+        assertTrue(out.contains("1 entries, at revision " + (2 + Catalogue.RESTORED_JUMP)), out);
+        byte[] bytes = Files.readAllBytes(backup);
+        bytes[20] ^= 1;
+        Files.write(backup, bytes);
+        assertEquals(2, run("registry", "restore", backup.toString()));
+        assertTrue(err.contains(backup + " is spoilt"), err);
+        assertEquals(0, run("registry", "status"));
+        assertTrue(out.contains("leader registry-1"), out);
+        await(() -> run("registry", "members") == 0 && out.contains("registry-1~0  leads"));
+        HttpResponse<String> figures = HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create(
+                "http://127.0.0.1:" + port + "/metrics")).build(), HttpResponse.BodyHandlers.ofString());
+        assertTrue(figures.body().contains("registry_entries 1.0"), figures.body());
+    }
+
+    @Test
+    void ordersForARollAreTakenAndShown() throws Exception {
+        start("one");
+        Path plan = folder.resolve("roll.toml");
+        Files.writeString(plan, "[[gateway]]\nname = \"g\"\nadmin = \"127.0.0.1:1\"\n");
+        assertEquals(0, run("roll", "start", plan.toString()));
+        assertEquals("start ordered, number 1", out.strip());
+        assertEquals(0, run("roll", "status"));
+        assertEquals("idle, 0 of 0 gateways, by null", out.strip());
+        Files.writeString(plan, "[[gateway]]\nadmin = \"x\"\n");
+        assertEquals(2, run("roll", "start", plan.toString()));
+        assertTrue(err.contains("roll.toml:2: gateway[0].admin: expected address:port, not x"), err);
+    }
+
+    @Test
+    void whereNobodyAnswersTheStatusIsItsOwn() throws Exception {
+        port = port();
+        assertEquals(3, run("registry", "status"));
+        assertTrue(err.startsWith("no replica answers"), err);
+    }
+
+    /** The entries, their revision and who holds a duty outlast the process. */
+    @Test
+    void aReplicaGoesOnFromItsFolder() throws Exception {
+        start("one");
+        run("endpoints", "put", "host-1", "127.0.0.1:9000");
+        replica.close();
+        start("one");
+        assertEquals(0, run("endpoints", "put", "host-2", "127.0.0.1:9000"));
+        assertEquals("host-2 at revision 2", out.strip());
+        assertEquals(2, replica.status().get("entries"));
+    }
+
+    @Test
+    void anAgentServesTheLastListWithNoServiceInReach() throws Exception {
+        start("one");
+        run("endpoints", "put", "host-1", "127.0.0.1:9000");
+        Agent.Setup setup = new Agent.Setup(folder.resolve("agent"), new InetSocketAddress("127.0.0.1", port()),
+                List.of(new InetSocketAddress("127.0.0.1", port)));
+        String at = "http://127.0.0.1:" + setup.listen().getPort();
+        HttpClient client = HttpClient.newHttpClient();
+        HttpRequest ask = HttpRequest.newBuilder(URI.create(at + "/v1/endpoints")).build();
+        try (Agent agent = new Agent(setup, Clock.SYSTEM, new Disk())) {
+            await(() -> client.send(ask, HttpResponse.BodyHandlers.ofString()).statusCode() == 200);
+            await(() -> Files.exists(setup.folder().resolve("list.json")));
+        }
+        replica.close();
+        replica = null;
+        try (Agent agent = new Agent(setup, Clock.SYSTEM, new Disk())) {
+            HttpResponse<String> list = client.send(ask, HttpResponse.BodyHandlers.ofString());
+            assertEquals(200, list.statusCode());
+            assertTrue(list.body().contains("\"uid\":\"host-1\""), list.body());
+            String status = client.send(HttpRequest.newBuilder(URI.create(at + "/v1/agent")).build(),
+                    HttpResponse.BodyHandlers.ofString()).body();
+            assertEquals("file", Json.object(status).get("source"));
+        }
+        Path file = setup.folder().resolve("list.json");
+        byte[] bytes = Files.readAllBytes(file);
+        Files.write(file, java.util.Arrays.copyOf(bytes, bytes.length - 1));
+        try (Agent agent = new Agent(setup, Clock.SYSTEM, new Disk())) {
+            assertEquals(503, client.send(ask, HttpResponse.BodyHandlers.ofString()).statusCode());
+        }
+    }
+}
