--- a/rig/src/test/java/mastdrift/rig/PlayTest.java
+++ b/rig/src/test/java/mastdrift/rig/PlayTest.java
@@ -101,6 +101,37 @@
         assertTrue((Integer) outcome.figures().get("writes") > 20, outcome.figures().toString());
     }
 
+    @Test
+    void aGatewayThatOurListServiceFeedsServesWhileItsLeaderIsKilled() throws Exception {
+        Play.Outcome outcome = play("""
+                name = "fed"
+                seconds = 5
+                settle_s = 0
+                [gateways]
+                count = 1
+                agents = true
+                [hosts]
+                count = 2
+                zones = ["a"]
+                [registry]
+                replicas = 3
+                [load]
+                rate = 30
+                [[fault]]
+                kind = "kill"
+                process = "@leader"
+                at_s = 1
+                for_s = 1
+                [[fault]]
+                kind = "replace"
+                process = "host-a-2"
+                at_s = 2
+                for_s = 1
+                """, 4, Variants.NONE);
+        assertTrue(outcome.held(), outcome.verdicts().toString());
+        assertTrue((Integer) outcome.figures().get("served") > 0, outcome.figures().toString());
+    }
+
     @Test
     void aServiceThatGivesARevisionTwiceIsCaught() throws Exception {
         Play.Outcome outcome = play(REGISTRY, 3, Variants.REVISION_REUSED);
