--- a/rig/src/main/java/mastdrift/rig/Stage.java
+++ b/rig/src/main/java/mastdrift/rig/Stage.java
@@ -37,7 +37,7 @@
     private static final String DISCOVERY = "discovery";
     static final String LEADER = "@leader";
     private static final String IN_SERVICE = "in_service";
-    private static final int LINK_LOOPS = 2;
+    private static final int LINK_LOOPS = 4;
     private static final long WAIT_MILLIS = 60_000;
 
     /**
