--- a/src/main/java/mastdrift/net/Admin.java
+++ b/src/main/java/mastdrift/net/Admin.java
@@ -27,7 +27,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -44,7 +43,6 @@
     private final EventLoop loop;
     private final Life life;
     private final Tally tally;
-    private final Fence fence = new Fence(Long.toHexString(System.currentTimeMillis()) + "-" + ProcessHandle.current().pid());
     private final Set<Channel> connections = new LinkedHashSet<>();  // the eldest first
     private Channel server;
 
@@ -114,12 +112,11 @@
     }
 
     private FullHttpResponse answer(FullHttpRequest call) {
-        QueryStringDecoder uri = new QueryStringDecoder(call.uri());
-        return switch (uri.rawPath()) {
+        return switch (new QueryStringDecoder(call.uri()).rawPath()) {
             case "/status" -> asked(call, HttpMethod.GET, this::status);
             case "/status/metrics" -> asked(call, HttpMethod.GET, this::figures);
-            case "/standby" -> asked(call, HttpMethod.POST, () -> fenced(uri, () -> turned(life.standby(true))));
-            case "/active" -> asked(call, HttpMethod.POST, () -> fenced(uri, () -> turned(life.standby(false))));
+            case "/standby" -> asked(call, HttpMethod.POST, () -> turned(life.standby(true)));
+            case "/active" -> asked(call, HttpMethod.POST, () -> turned(life.standby(false)));
             default -> text(HttpResponseStatus.NOT_FOUND, "no such call\n");
         };
     }
@@ -137,24 +134,8 @@
         return wrong;
     }
 
-    private FullHttpResponse fenced(QueryStringDecoder uri, Done done) {
-        try {
-            return fence.passes(named(uri, "duty"), named(uri, "token"), named(uri, "process")) ? done.answer()
-                    : text(HttpResponseStatus.PRECONDITION_FAILED, "an older token, or for another process\n");
-        } catch (IllegalArgumentException e) {
-            return text(HttpResponseStatus.BAD_REQUEST, e.getMessage() + "\n");
-        }
-    }
-
-    private static String named(QueryStringDecoder uri, String name) {
-        List<String> values = uri.parameters().get(name);
-        return values == null ? null : values.get(0);
-    }
-
     private FullHttpResponse status() {
-        FullHttpResponse status = text(life.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, state());
-        status.headers().set("X-Process", fence.process());
-        return status;
+        return text(life.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, state());
     }
 
     private FullHttpResponse figures() {
