Measure the list service by size, tell watches from one copy, and hold ports against forks

Need: 10,000 endpoints with 1,000 watches were never played, and each watch that came back after an outage had a whole list of its own encoded and kept for it (2.8 MB at 10,000 entries, so 2.8 GB for 1,000).

Change: `rig crowd` starts replicas, puts entries, opens watches, changes entries and replaces hosts, and writes figures and a page of plots. A line is encoded once for all that stand at the same revision. Suspected cause of the taken port: the socket that looks for a free port is inherited by a child that is forked at that moment, and stays open until the child has closed it; starts of processes and looks for ports now exclude each other. A seed that can't be played no longer ends the others.

--- a/common/src/main/java/mastdrift/common/Http.java
+++ b/common/src/main/java/mastdrift/common/Http.java
@@ -193,6 +193,23 @@
         }
     }
 
+    /** A line that many are told: encoded once, and kept in memory once until the last of them has it. */
+    public static final class Shared {
+
+        private final ByteBuf content;
+
+        /** Whoever makes it lets go of it once nobody new is to be told. */
+        public Shared(String text) {
+            byte[] bytes = (text + "\n").getBytes(StandardCharsets.UTF_8);
+            // Outside the heap: from there each connection would take a copy on its way out.
+            content = Unpooled.directBuffer(bytes.length, bytes.length).writeBytes(bytes);
+        }
+
+        public void release() {
+            content.release();
+        }
+    }
+
     /** An answer of lines that stays open until one side ends it. */
     public static final class Lines {
 
@@ -211,6 +228,11 @@
             channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8)));
         }
 
+        /** Of all readers that wait for the same, none has a copy of its own. */
+        public void line(Shared line) {
+            channel.writeAndFlush(new DefaultHttpContent(line.content.retainedDuplicate()));
+        }
+
         public void end() {
             channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(ChannelFutureListener.CLOSE);
         }
--- a/registry/src/main/java/mastdrift/registry/Feed.java
+++ b/registry/src/main/java/mastdrift/registry/Feed.java
@@ -19,6 +19,10 @@
     private static final int GATHER_MILLIS = 5;  // changes that come within are one line
     private static final int ALIVE_MILLIS = 2000;  // PROTOCOL: an empty line as long as nothing changes
     private static final long SLOW_MICROS = 10_000_000;  // who takes nothing for so long is cut
+    private static final int LINES_MOST = 64;  // kept: most readers are equally far behind
+
+    /** A line, and the revision that it brings its reader to. */
+    private record Told(long rev, Http.Shared line) { }
 
     private final class Watcher {
         private final Http.Lines lines;
@@ -38,6 +42,8 @@
     private final LongFunction<Listing.Line> since;
     private final int most;
     private final Set<Watcher> watchers = new HashSet<>();
+    private final Map<Long, Told> lines = new HashMap<>();  // of the newest revision, by where their readers stand
+    private long linesAt;
     private final AtomicBoolean asked = new AtomicBoolean();
     private volatile int count;
     private volatile long cut;
@@ -82,9 +88,9 @@
         }
         Http.Lines lines = call.lines();
         loop.execute(() -> {
-            Listing.Line first = since.apply(from);
-            Watcher watcher = new Watcher(lines, first.rev());
-            lines.line(first.text());
+            Told first = line(from);
+            Watcher watcher = new Watcher(lines, first.rev);
+            lines.line(first.line);
             watchers.add(watcher);
             count = watchers.size();
             lines.whenEnded(() -> loop.execute(() -> {
@@ -95,15 +101,28 @@
         });
     }
 
+    /** Made once for all who stand there: after an outage a thousand come back for the same whole list. */
+    private Told line(long from) {
+        long now = newest.getAsLong();
+        if (now != linesAt || lines.size() >= LINES_MOST) {
+            lines.values().forEach(told -> told.line.release());
+            lines.clear();
+            linesAt = now;
+        }
+        return lines.computeIfAbsent(from, at -> {
+            Listing.Line line = since.apply(at);
+            return new Told(line.rev(), new Http.Shared(line.text()));
+        });
+    }
+
     private void tell() {
         asked.set(false);
         long now = newest.getAsLong();
-        Map<Long, Listing.Line> lines = new HashMap<>();  // most are equally far behind
         for (Watcher watcher : watchers) {
             if (watcher.rev < now && watcher.lines.writable()) {
-                Listing.Line line = lines.computeIfAbsent(watcher.rev, since::apply);
-                watcher.lines.line(line.text());
-                watcher.rev = line.rev();
+                Told line = line(watcher.rev);
+                watcher.lines.line(line.line);
+                watcher.rev = line.rev;
                 watcher.tookAt = clock.monotonic();
                 told++;
             }
--- a/rig/src/main/java/mastdrift/rig/Addresses.java
+++ b/rig/src/main/java/mastdrift/rig/Addresses.java
@@ -46,8 +46,11 @@
         IOException last = null;
         for (int tries = 0; tries < 100; tries++) {
             int port = LEAST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
-            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(address))) {
-                return probe.getLocalPort();
+            try {
+                synchronized (Program.FORKING) {
+                    new ServerSocket(port, 1, InetAddress.getByName(address)).close();
+                }
+                return port;
             } catch (IOException e) {
                 last = e;
             }
--- a/rig/src/main/java/mastdrift/rig/Program.java
+++ b/rig/src/main/java/mastdrift/rig/Program.java
@@ -31,6 +31,10 @@
 
     private static final int END_SECONDS = 20;
 
+    /** Held while a process is started, and by whoever opens a socket that is to be gone once it is closed: a child has all of
+        its parent's sockets until it has closed them, which on a busy machine is later than the parent has. */
+    static final Object FORKING = new Object();
+
     private final Spec spec;
     private final Warden warden;
     private volatile Process process;
@@ -56,7 +60,9 @@
             ProcessBuilder builder = new ProcessBuilder(spec.command).directory(spec.workingFolder.toFile())
                     .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(spec.log().toFile()));
             builder.environment().putAll(spec.environment);
-            process = builder.start();
+            synchronized (FORKING) {
+                process = builder.start();
+            }
             warden.began(process.pid());
         } catch (IOException e) {
             throw new UncheckedIOException("can't start " + spec.name + ": " + e.getMessage(), e);
--- a/rig/src/main/java/mastdrift/rig/Report.java
+++ b/rig/src/main/java/mastdrift/rig/Report.java
@@ -35,9 +35,18 @@
         for (Path play : plays) {
             shown.add(Json.text(summary(History.read(play))).replace("</", "<\\/"));
         }
-        String html = resource("/rig.html").replace("/*UPLOT_CSS*/", resource(UPLOT + "uPlot.min.css"))
+        page("/rig.html", shown, page);
+    }
+
+    /** Of what the list service took at each size: figures as JSON, a line each. */
+    static void crowd(List<String> figures, Path page) throws IOException {
+        page("/crowd.html", figures, page);
+    }
+
+    private static void page(String template, List<String> plays, Path page) throws IOException {
+        String html = resource(template).replace("/*UPLOT_CSS*/", resource(UPLOT + "uPlot.min.css"))
                 .replace("/*UPLOT_JS*/", resource(UPLOT + "uPlot.iife.min.js"))
-                .replace("/*PLAYS*/", String.join(",\n", shown));
+                .replace("/*PLAYS*/", String.join(",\n", plays));
         Files.writeString(page, html, StandardCharsets.UTF_8);
     }
 
--- a/rig/src/main/java/mastdrift/rig/Rig.java
+++ b/rig/src/main/java/mastdrift/rig/Rig.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import mastdrift.common.Json;
 import mastdrift.common.TomlFile;
 import mastdrift.lab.Lab;
 import picocli.CommandLine.Command;
@@ -28,7 +29,7 @@
 /** The rig's commands. Exit status: 0 all held, 1 something was broken, 2 misuse or a play that could not be played. */
 @Command(name = "rig", mixinStandardHelpOptions = true, version = "0.1.0", synopsisSubcommandLabel = "COMMAND",
         description = "Plays processes of the program under faults, and judges what they did.",
-        subcommands = {Rig.Run.class, Rig.MakeReport.class, Rig.Shrink.class, CommandLine.HelpCommand.class})
+        subcommands = {Rig.Run.class, Rig.MakeReport.class, Rig.Shrink.class, Rig.MakeCrowd.class, CommandLine.HelpCommand.class})
 public final class Rig implements Runnable {
 
     static final int HELD = 0;
@@ -135,6 +136,7 @@
             Path results = out().resolve("results.jsonl");
             Files.deleteIfExists(results);
             AtomicInteger broken = new AtomicInteger();
+            AtomicInteger unplayed = new AtomicInteger();
             BlockingQueue<Integer> lanes = new LinkedBlockingQueue<>();
             for (int lane = 0; lane < jobs; lane++) {
                 lanes.add(lane);
@@ -144,10 +146,16 @@
             for (long seed : seeds) {
                 plays.add(pool.submit(() -> {
                     int lane = lanes.take();
-                    Play.Outcome outcome = play(plan, seed, Draw.faults(plan, Stage.names(plan), seed), lane);
-                    lanes.add(lane);
-                    broken.addAndGet(outcome.held() ? 0 : 1);
-                    tell(outcome, results);
+                    try {
+                        Play.Outcome outcome = play(plan, seed, Draw.faults(plan, Stage.names(plan), seed), lane);
+                        broken.addAndGet(outcome.held() ? 0 : 1);
+                        tell(outcome, results);
+                    } catch (IOException | IllegalStateException e) {
+                        unplayed.incrementAndGet();
+                        print().println("seed " + seed + ": COULD NOT BE PLAYED  " + e.getMessage());
+                    } finally {
+                        lanes.add(lane);
+                    }
                     return null;
                 }));
             }
@@ -160,9 +168,10 @@
             } finally {
                 pool.shutdownNow();
             }
-            print().println(String.format(Locale.ROOT, "%d of %d seeds held; results in %s", seeds.size() - broken.get(),
-                    seeds.size(), results));
-            return broken.get() == 0 ? HELD : BROKEN;
+            print().println(String.format(Locale.ROOT, "%d of %d seeds held%s; results in %s",
+                    seeds.size() - broken.get() - unplayed.get(), seeds.size(),
+                    unplayed.get() == 0 ? "" : ", " + unplayed + " could not be played", results));
+            return broken.get() > 0 ? BROKEN : unplayed.get() > 0 ? MISUSED : HELD;
         }
     }
 
@@ -212,4 +221,50 @@
             return BROKEN;
         }
     }
+
+    @Command(name = "crowd", mixinStandardHelpOptions = true,
+            description = "Measures the list service at each size: a change's way to the last watcher, memory, CPU, a release.")
+    static final class MakeCrowd implements Callable<Integer> {
+
+        @Option(names = "--entries", paramLabel = "N", split = ",", defaultValue = "1000,10000",
+                description = "sizes of the list (default: ${DEFAULT-VALUE})")
+        private List<Integer> entries;
+
+        @Option(names = "--watches", paramLabel = "N", split = ",", defaultValue = "100,1000",
+                description = "open watches, each number with each size (default: ${DEFAULT-VALUE})")
+        private List<Integer> watches;
+
+        @Option(names = "--replaced", paramLabel = "N", defaultValue = "600",
+                description = "hosts that are replaced within 10 s at the end (default: ${DEFAULT-VALUE})")
+        private int replaced;
+
+        @Option(names = "--replicas", paramLabel = "N", defaultValue = "3", description = "of the service (default: ${DEFAULT-VALUE})")
+        private int replicas;
+
+        @Option(names = "--out", paramLabel = "DIR", defaultValue = "target/crowd",
+                description = "where logs, figures and the page of plots go (default: ${DEFAULT-VALUE})")
+        private Path out;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            Files.createDirectories(out);
+            List<String> lines = new ArrayList<>();
+            for (int size : entries) {
+                for (int open : watches) {
+                    try (Crowd crowd = new Crowd(size, open, replaced, replicas, Path.of("").toAbsolutePath(),
+                            out.toAbsolutePath().resolve(size + "x" + open))) {
+                        lines.add(Json.text(crowd.play()));
+                    }
+                    spec.commandLine().getOut().println(lines.get(lines.size() - 1));
+                }
+            }
+            Files.write(out.resolve("crowd.jsonl"), lines);
+            Report.crowd(lines, out.resolve("crowd.html"));
+            spec.commandLine().getOut().println(out.resolve("crowd.html"));
+            return HELD;
+        }
+    }
 }
--- a/rig/src/main/java/mastdrift/rig/Stage.java
+++ b/rig/src/main/java/mastdrift/rig/Stage.java
@@ -13,7 +13,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,7 +59,7 @@
     private final EventLoop ownLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final EventLoop loadLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final List<String> names = new ArrayList<>();
-    private final Map<String, Integer> ports = new HashMap<>();
+    private final Map<String, Integer> ports = new ConcurrentHashMap<>();
     private final Map<String, List<Link>> links = new ConcurrentHashMap<>();
     private final Map<String, Program> programs = new TreeMap<>();
     private final Set<String> ended = ConcurrentHashMap.newKeySet();  // by a fault
