Give the lab regions and the troubles of zones, and tell when gateways left and how much crossed

Need: the lab could lose a zone and cut one off, and nothing told how long gateways took to leave it.

--- a/lab/src/main/java/mastdrift/lab/DayFile.java
+++ b/lab/src/main/java/mastdrift/lab/DayFile.java
@@ -30,8 +30,11 @@
         TomlFile.Section top = file.top();
         TomlFile.Section f = top.section("fleet");
         Plan.Fleet fleet = new Plan.Fleet(f.whole("gateways", 3, 1, 5_000), f.whole("hosts", 10, 1, 20_000),
-                f.texts("zones", List.of("a", "b", "c")), f.range("start_s", 2, 4, 0.1, 60),
-                f.whole("hosts_per_cell", 4, 1, 1_000));
+                f.texts("zones", List.of("a", "b", "c")), f.texts("regions", List.of()),
+                f.range("start_s", 2, 4, 0.1, 60), f.whole("hosts_per_cell", 4, 1, 1_000));
+        if (!fleet.regions().isEmpty() && fleet.regions().size() != fleet.zones().size()) {
+            f.fault("regions", "expected one for each zone, " + fleet.zones().size());
+        }
         f.done();
         TomlFile.Section h = top.section("hosts");
         Plan.Hosts hosts = new Plan.Hosts(h.range("handshake_rtts", 2, 3, 0, 10), h.range("handshake_ms", 0.5, 1, 0, 100),
@@ -78,7 +81,7 @@
         r.done();
         TomlFile.Section n = top.section("net");
         Plan.Net net = new Plan.Net(n.range("same_ms", 0.16, 0.33, 0, 10_000), n.range("cross_ms", 0.9, 1.7, 0, 10_000),
-                n.range("client_ms", 0.26, 0.82, 0, 10_000), n.range("jitter", 0.06, 0.33, 0, 5));
+                n.range("far_ms", 12, 30, 0, 10_000), n.range("client_ms", 0.26, 0.82, 0, 10_000), n.range("jitter", 0.06, 0.33, 0, 5));
         n.done();
         TomlFile.Section l = top.section("lists");
         Plan.Lists lists = new Plan.Lists(l.range("notice_s", 0.3, 1.8, 0, 600), l.range("silent_notice_s", 2, 5, 0, 600),
--- a/lab/src/main/java/mastdrift/lab/Journal.java
+++ b/lab/src/main/java/mastdrift/lab/Journal.java
@@ -57,6 +57,10 @@
             json.writeNumberField("dials", result.dials());
             json.writeNumberField("list_calls", result.listCalls());
             number(json, "wasted", result.wasted());
+            json.writeNumberField("crossed", result.crossed());
+            json.writeNumberField("crossed_regions", result.far());
+            json.writeNumberField("into_nothing", result.intoNothing());
+            number(json, "left_ms", result.leftMs());
             json.writeArrayFieldStart("breaches");
             for (Referee.Breach breach : result.breaches()) {
                 json.writeString(breach.toString());
--- a/lab/src/main/java/mastdrift/lab/Lab.java
+++ b/lab/src/main/java/mastdrift/lab/Lab.java
@@ -202,6 +202,24 @@
             tell("failed part", results, r -> r.failed() / (double) Math.max(1, r.offered()));
             tell("dials a request", results, r -> r.dials() / (double) Math.max(1, r.offered()));
             tell("probes a request", results, r -> r.probes() / (double) Math.max(1, r.offered()));
+            tell("crossings", results, r -> r.crossed() / (double) Math.max(1, r.attempts()));
+            tell("into nothing", results, r -> r.intoNothing() / (double) Math.max(1, r.attempts()));
+            if (results.stream().noneMatch(r -> Double.isNaN(r.leftMs()))) {
+                tell("left after ms", results, Result::leftMs);
+            }
+            for (int side = 0; side < 2; side++) {
+                double[] sums = new double[4];
+                for (int i = side; i < results.size(); i += 2) {
+                    Result r = results.get(i);
+                    sums[0] += r.figure();
+                    sums[1] += r.crossed() / (double) Math.max(1, r.attempts());
+                    sums[2] += r.intoNothing() / (double) Math.max(1, r.attempts());
+                    sums[3] += r.leftMs();
+                }
+                playing.print().printf(Locale.ROOT, "  %s: figure %.4f, crossings %.3f, into nothing %.4f, left after %.0f ms%n",
+                        side == 0 ? "A" : "B", sums[0] * 2 / results.size(), sums[1] * 2 / results.size(),
+                        sums[2] * 2 / results.size(), sums[3] * 2 / results.size());
+            }
             boolean worse = Experiment.difference(results, Result::figure).most() < 0;
             boolean held = results.stream().filter(result -> result.build().equals(b)).allMatch(Result::held);
             return held && !worse ? HELD : FELL_SHORT;
--- a/lab/src/main/java/mastdrift/lab/Meter.java
+++ b/lab/src/main/java/mastdrift/lab/Meter.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /** What clients got, second by second of when they first asked, and what it cost. Latencies count from the first try of a
@@ -30,6 +32,10 @@
     final long[] dials;
     final long[] listCalls;
     final long[] crossZone;
+    final long[] farZone;
+    private long cutAt = -1;
+    private final Map<Integer, Histogram> unreached = new TreeMap<>();
+    private long intoNothing;
     private final double[] heldMean;
     private final double[] heldMost;
     private final int[] choked;
@@ -52,6 +58,7 @@
         dials = new long[seconds];
         listCalls = new long[seconds];
         crossZone = new long[seconds];
+        farZone = new long[seconds];
         heldMean = new double[seconds];
         heldMost = new double[seconds];
         choked = new int[seconds];
@@ -64,6 +71,31 @@
         return (int) Math.min(plan.seconds() - 1L, at / 1_000_000);
     }
 
+    /** Some hosts can't be reached from now on; the first such time of a day counts. */
+    void cutAt(long at) {
+        cutAt = cutAt < 0 ? at : cutAt;
+    }
+
+    /** A gateway sent to a host that it does not reach. */
+    void unreached(int gateway, long at) {
+        intoNothing++;
+        if (cutAt >= 0) {
+            unreached.computeIfAbsent(gateway, g -> new Histogram(LATENCY_MOST * 60, 3)).recordValue(at - cutAt);
+        }
+    }
+
+    /** Milliseconds from when some could not be reached until a gateway had sent nine tenths of all that it sent there:
+        the median gateway's. NaN where nothing was sent there. */
+    double leftMs() {
+        double[] each = unreached.values().stream().mapToDouble(h -> h.getValueAtPercentile(90) / 1000.0).sorted().toArray();
+        return each.length == 0 ? Double.NaN : each[each.length / 2];
+    }
+
+    /** Attempts at hosts that could not be reached. */
+    long intoNothing() {
+        return intoNothing;
+    }
+
     void offered(long at, int cls) {
         offered[second(at)]++;
         worth[second(at)] += plan.classes().get(cls).worth();
--- a/lab/src/main/java/mastdrift/lab/Plan.java
+++ b/lab/src/main/java/mastdrift/lab/Plan.java
@@ -21,12 +21,22 @@
     /** The same day for a fleet of another size, which its name tells. */
     Plan sized(int gateways, int hostCount) {
         return new Plan(name + "-" + gateways + "x" + hostCount, seconds, tickMs,
-                new Fleet(gateways, hostCount, fleet.zones, fleet.startS, fleet.hostsPerCell), hosts, kinds, traffic, classes,
+                new Fleet(gateways, hostCount, fleet.zones, fleet.regions, fleet.startS, fleet.hostsPerCell), hosts, kinds, traffic, classes,
                 clients, front, net, lists, rules, goal, troubles);
     }
 
-    /** How many gateways and hosts, their zones by name, and how long a gateway takes to start. */
-    record Fleet(int gateways, int hosts, List<String> zones, Range startS, int hostsPerCell) { }
+    /** How many gateways and hosts, their zones by name, the region of each zone (none named: all are one), and how long a
+        gateway takes to start. */
+    record Fleet(int gateways, int hosts, List<String> zones, List<String> regions, Range startS, int hostsPerCell) {
+
+        boolean near(String one, String other) {
+            return regions.isEmpty() || region(one).equals(region(other));
+        }
+
+        String region(String zone) {
+            return regions.isEmpty() ? "" : regions.get(zones.indexOf(zone));
+        }
+    }
 
     /** What all hosts have in common: connections, choking, warm keys. */
     record Hosts(Range handshakeRtts, Range handshakeMs, Range connectionsPerCore, double idleS, double dialTimeoutMs,
@@ -51,8 +61,9 @@
     /** How late the front learns of a gateway that has gone. */
     record Front(Range noticeS) { }
 
-    /** One way, in milliseconds, and the part by which it varies. */
-    record Net(Range sameMs, Range crossMs, Range clientMs, Range jitter) { }
+    /** One way, in milliseconds, within a zone, between zones of a region and between regions, and the part by which it
+        varies. */
+    record Net(Range sameMs, Range crossMs, Range farMs, Range clientMs, Range jitter) { }
 
     /** How late the list tells, how often it is told, and how many calls a second discovery answers. */
     record Lists(Range noticeS, Range silentNoticeS, Range addS, Range periodMs, Range callsPerS) { }
@@ -66,7 +77,8 @@
             double handshake) { }
 
     /** What goes wrong. */
-    enum What { HANG, NEIGHBOUR, GROW, RELEASE, JOIN, ZONE, SPLIT, ROLL, HERD, HANDOVER, LATE_LISTS, NO_LISTS, LOSS, RESETS }
+    enum What { HANG, NEIGHBOUR, GROW, RELEASE, JOIN, ZONE, SPLIT, ZONE_SLOW, ZONE_FULL, ZONE_FLAP, REGION, SELF_CUT, ROLL,
+        HERD, HANDOVER, LATE_LISTS, NO_LISTS, LOSS, RESETS }
 
     /** When it begins, how long it lasts, the part of hosts or gateways it takes, and how hard. */
     record Trouble(What what, Range atS, Range forS, Range part, Range size) { }
--- a/lab/src/main/java/mastdrift/lab/World.java
+++ b/lab/src/main/java/mastdrift/lab/World.java
@@ -1,9 +1,12 @@
 package mastdrift.lab;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import mastdrift.Balancer.Cpu;
@@ -123,6 +126,7 @@
     private final long tickMicros;
     private final double sameMs;
     private final double crossMs;
+    private final double farMs;
     private final double clientMs;
     private final double jitter;
     private final double handshakeRtts;
@@ -147,6 +151,8 @@
     private double lossPart;
     private double resetPart;
     private String cutZone;
+    private final Set<Node> cutNodes = new HashSet<>();
+    private final double[] zoneGrowth;
     private long tick;
     private long requests;
     private long tries;
@@ -167,6 +173,7 @@
         tickMicros = Math.max(1, Math.round(1000 * day.in(plan.tickMs())));
         sameMs = day.in(plan.net().sameMs());
         crossMs = day.in(plan.net().crossMs());
+        farMs = plan.fleet().regions().isEmpty() ? crossMs : day.in(plan.net().farMs());
         clientMs = day.in(plan.net().clientMs());
         jitter = day.in(plan.net().jitter());
         handshakeRtts = day.in(plan.hosts().handshakeRtts());
@@ -188,6 +195,8 @@
         double uneven = day.in(plan.traffic().uneven());
         zoneShare = plan.fleet().zones().stream().mapToDouble(zone -> day.noise(uneven)).toArray();
         normalize(zoneShare);
+        zoneGrowth = new double[zoneShare.length];
+        Arrays.fill(zoneGrowth, 1);
         drawHosts(day);
         coldFrom = machines.stream().mapToDouble(machine -> machine.build.coldFrom()).min().orElse(1);
         warmWithin = machines.stream().mapToLong(machine -> machine.build.coldSpan()).max().orElse(0);
@@ -358,7 +367,7 @@
     /** The rate swings over 10 s; drawn by thinning, so that no trouble moves the arrivals of another day. */
     private void arrive() {
         double most = perMicro * (1 + swing) * Math.max(1, plan.troubles().stream()
-                .filter(t -> t.what() == Plan.What.GROW).mapToDouble(t -> Math.max(t.size().from(), t.size().to())).max()
+                .filter(t -> t.what() == Plan.What.GROW || t.what() == Plan.What.ZONE_FULL).mapToDouble(t -> Math.max(t.size().from(), t.size().to())).max()
                 .orElse(1));
         DiscreteSampler ranks =
                 traffic.zipf(plan.traffic().keys(), traffic.in(plan.traffic().zipf()));
@@ -372,12 +381,14 @@
             return;
         }
         agenda.at(at, () -> {
-            double rate = perMicro * growth * (1 + swing * Math.sin(agenda.now() / 10e6 * 2 * Math.PI + phase));
+            double[] zones = IntStream.range(0, zoneShare.length).mapToDouble(i -> zoneShare[i] * zoneGrowth[i]).toArray();
+            double rate = perMicro * growth * Arrays.stream(zones).sum() * (1 + swing * Math.sin(agenda.now() / 10e6 * 2 * Math.PI + phase));
             // All is drawn whether it comes or not: what comes is the same whatever was thinned out before.
             boolean comes = traffic.unit() * most < rate;
             int cls = pick(classShare, traffic.unit());
             long key = Dice.mix(seed + ranks.sample()) >>> 11;
-            String zone = plan.fleet().zones().get(pick(zoneShare, traffic.unit()));
+            normalize(zones);
+            String zone = plan.fleet().zones().get(pick(zones, traffic.unit()));
             double work = classWork[cls] * traffic.noise(classVariation[cls]);
             if (comes) {
                 Request request = new Request(cls, plan.classes().get(cls), key, zone, Math.max(1, work), agenda.now(),
@@ -504,13 +515,14 @@
     }
 
     private long travel(Node node, Machine machine) {
-        return travel(node.zone.equals(machine.build.zone()) ? sameMs : crossMs);
+        String there = machine.build.zone();
+        return travel(node.zone.equals(there) ? sameMs : plan.fleet().near(node.zone, there) ? crossMs : farMs);
     }
 
     private boolean reaches(Node node, Machine machine) {
         boolean across = !node.zone.equals(machine.build.zone());
         boolean cut = across && (node.zone.equals(cutZone) || machine.build.zone().equals(cutZone));
-        return !machine.silent && !cut;
+        return !machine.silent && !cut && !cutNodes.contains(node);
     }
 
     /** An attempt that is not made, as the request is over or has had its share of them. */
@@ -525,6 +537,10 @@
         int second = meter.second(now);
         meter.attempts[second]++;
         meter.crossZone[second] += by.zone.equals(to.build.zone()) ? 0 : 1;
+        meter.farZone[second] += plan.fleet().near(by.zone, to.build.zone()) ? 0 : 1;
+        if (!reaches(by, to)) {
+            meter.unreached(by.number, now);
+        }
         Attempt attempt = new Attempt(of, to, now);
         of.attempts.add(attempt);
         long left = of.ends - now;
@@ -680,15 +696,28 @@
                     agenda.at(at + span * i / Math.max(1, hosts.size()), () -> succeed(host, address));
                 }
             }
-            case ZONE -> {
-                List<Machine> lost = machines.stream().filter(host -> host.build.zone().equals(zone)).toList();
-                during(at, span, () -> lost.forEach(host -> {
-                    host.silent = true;
-                    host.end();
-                    registry.changed(host, Balancer.Health.GONE, true);
-                }), () -> lost.forEach(this::restart));
+            case ZONE -> lose(at, span, inZone(zone));
+            case REGION -> lose(at, span, machines.stream().filter(host -> plan.fleet().region(host.build.zone())
+                    .equals(plan.fleet().region(zone))).toList());
+            case SPLIT -> during(at, span, () -> begin(() -> cutZone = zone), () -> cutZone = null);
+            case ZONE_SLOW -> {
+                List<Machine> slow = inZone(zone);
+                during(at, span, () -> slow.forEach(host -> change(host, () -> host.taken = Math.min(0.95, size))),
+                        () -> slow.forEach(host -> change(host, () -> host.taken = 0)));
             }
-            case SPLIT -> during(at, span, () -> cutZone = zone, () -> cutZone = null);
+            case ZONE_FULL -> {
+                int full = plan.fleet().zones().indexOf(zone);
+                during(at, span, () -> zoneGrowth[full] = size, () -> zoneGrowth[full] = 1);
+            }
+            case ZONE_FLAP -> {
+                List<Machine> flapping = inZone(zone);
+                long step = (long) (1e6 * size);
+                for (long on = at; on < at + span; on += 2 * step) {
+                    during(on, step, () -> begin(() -> flapping.forEach(host -> host.silent = true)),
+                            () -> flapping.forEach(host -> host.silent = false));
+                }
+            }
+            case SELF_CUT -> during(at, span, () -> begin(() -> cutNodes.addAll(gateways)), () -> cutNodes.removeAll(gateways));
             case ROLL -> {
                 for (int i = 0; i < nodes.size(); i++) {
                     Node node = nodes.get(i);
@@ -710,6 +739,25 @@
         }
     }
 
+    private List<Machine> inZone(String zone) {
+        return machines.stream().filter(host -> host.build.zone().equals(zone)).toList();
+    }
+
+    /** They fall silent, and come back cold. */
+    private void lose(long at, long span, List<Machine> lost) {
+        during(at, span, () -> begin(() -> lost.forEach(host -> {
+            host.silent = true;
+            host.end();
+            registry.changed(host, Balancer.Health.GONE, true);
+        })), () -> lost.forEach(this::restart));
+    }
+
+    /** From now on some can't be reached: how long do gateways take to leave them? */
+    private void begin(Runnable what) {
+        meter.cutAt(agenda.now());
+        what.run();
+    }
+
     private void during(long at, long span, Runnable begin, Runnable end) {
         agenda.at(at, begin);
         agenda.at(at + span, end);
