Leave a zone that owes answers whole, return to it by doubling, and know when cut off oneself

Cause: a lost zone was learned host by host: each had to cost a request and be silent for 1 s, and half of them before the rest followed (Balance.markDown). A gateway that was itself cut off took all hosts for down, and got them back one probe at a time.

Change: Zones, a part of the decision module and of `policy`, holds each zone's standing by what all its hosts owe. Failures from a time in which nobody answered are forgotten with the first answer. Hosts that are down are tried again after 6 s where probes are not allowed; before, nothing would ever have brought them back.

--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -29,6 +29,7 @@
     static final class Server {
         Balancer.Host host;
         Pool kind;
+        Zones.Zone zone;
         final long[] sampleAt;
         final double[] sample;
         int samples;
@@ -51,6 +52,7 @@
         double recent;
         long unansweredSince;
         boolean down;
+        long downAt;
         long coldSince;
         long coldSpan;
         double coldCredit;
