--- a/lab/src/test/java/mastdrift/lab/DayFileTest.java
+++ b/lab/src/test/java/mastdrift/lab/DayFileTest.java
@@ -52,10 +52,10 @@
                 repeat = "safe"
                 """, "bad.toml"));
         assertEquals(List.of("bad.toml:4: fleet.hosts: expected 1 to 20000, not 0",
-                "bad.toml:3: fleet.gatways: unknown key; known here: gateways, hosts, hosts_per_cell, start_s, zones",
+                "bad.toml:3: fleet.gatways: unknown key; known here: gateways, hosts, hosts_per_cell, regions, start_s, zones",
                 "bad.toml:6: traffic.load: expected a number or a range [from, to]",
                 "bad.toml:10: class[0].name: expected a name without spaces",
-                "bad.toml:8: trouble[0].kind: expected one of hang, neighbour, grow, release, join, zone, split, roll, herd, "
+                "bad.toml:8: trouble[0].kind: expected one of hang, neighbour, grow, release, join, zone, split, zone_slow, zone_full, zone_flap, region, self_cut, roll, herd, "
                 + "handover, late_lists, no_lists, loss, resets", "bad.toml:1: seconds: expected a whole number"), faults.lines());
     }
 
