Take a gateway for cut off only once hosts take no connection, and look at zones without streams

Suspected and looked for in logs: a zone wrongly left, or a jam taken for a cut, whose end forgets how full hosts are. A jam can be as silent as a cut, though, so that one is mended by reasoning alone.

--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -53,6 +53,7 @@
         long unansweredSince;
         boolean down;
         long downAt;
+        long dialFailedAt;
         long coldSince;
         long coldSpan;
         double coldCredit;
--- a/src/main/java/mastdrift/Zones.java
+++ b/src/main/java/mastdrift/Zones.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -37,6 +36,7 @@
     private static final double RIPE = 4;                // usual latencies after which an answer is owed
     private static final long RIPE_LEAST = 150_000;      // a new connection and a pause of the host's come before that
     private static final long RIPE_MOST = 1_000_000;
+    private static final long CUT_AFTER = 1_000_000;     // without an answer from anybody
     private static final double FIRST = 0.25;            // part of a zone that returns
     private static final long TURN = 500_000;            // between two doublings
     private static final double DISTRUST_MOST = 8;       // times that span, of a zone that flaps
@@ -112,17 +112,29 @@
         left from now on. */
     boolean lost(long now, Zone zone, Collection<Server> all, double usual) {
         long ripe = now - (long) Math.max(RIPE_LEAST, Math.min(RIPE_MOST, RIPE * usual));
-        List<Server> owing = all.stream().filter(s -> s.zone == zone && s.unanswered > 0
-                && s.unansweredSince > zone.answeredAt && s.unansweredSince <= ripe).toList();
-        if (owing.size() < OWING || owing.stream().mapToInt(s -> s.unanswered).sum() < OWED) {
+        int owing = 0;
+        int owed = 0;
+        long first = now;
+        for (Server server : all) {
+            if (server.zone == zone && server.unanswered > 0 && server.unansweredSince > zone.answeredAt
+                    && server.unansweredSince <= ripe) {
+                owing++;
+                owed += server.unanswered;
+                first = Math.min(first, server.unansweredSince);
+            }
+        }
+        if (owing < OWING || owed < OWED) {
             return false;
         }
-        long first = owing.stream().mapToLong(s -> s.unansweredSince).min().orElse(now);
-        boolean others = zones.values().stream().anyMatch(z -> z != zone && z.answeredAt > first);
-        if (!others && zones.values().stream().allMatch(z -> z.answeredAt < first)) {
-            cutSince = cutSince == 0 ? first : cutSince;
+        boolean others = false;
+        boolean one = true;
+        for (Zone other : zones.values()) {
+            others |= other != zone && other.answeredAt > first;
+            one &= other == zone || other.part >= 0.5;
+        }
+        if (!others) {
+            lookAtOurselves(now, first, all);
         }
-        boolean one = zones.values().stream().noneMatch(z -> z != zone && z.part < 0.5);
         if (!others || !one || zone.standing == Standing.LEFT) {
             if (zone.standing == Standing.HEALTHY) {
                 turn(now, zone, Standing.AILING);
@@ -133,8 +145,22 @@
         zone.distrust = flaps ? Math.min(DISTRUST_MOST, 2 * zone.distrust) : zone.distrust;
         turn(now, zone, Standing.LEFT);
         zone.part = 0;
-        log.accept("zone " + zone.name + " left: " + owing.size() + " of its hosts owe answers, for "
-                + (now - first) / 1000 + " ms, while others give them");
+        log.accept("zone " + zone.name + " left: " + owing + " of its hosts owe answers, for " + (now - first) / 1000
+                + " ms, while others give them");
         return true;
     }
+
+    /** Nobody has answered since then. Hosts that are jammed may be as silent, but they accept connections: the gateway is
+        cut off once that has lasted, and no connection to several hosts came up either. */
+    private void lookAtOurselves(long now, long first, Collection<Server> all) {
+        int undialled = 0;
+        for (Server server : all) {
+            undialled += server.dialFailedAt > first ? 1 : 0;
+        }
+        if (cutSince == 0 && now - first >= CUT_AFTER && undialled >= OWING) {
+            cutSince = first;
+            log.accept("cut off: nobody answers for " + (now - first) / 1000 + " ms, and " + undialled
+                    + " hosts take no connection");
+        }
+    }
 }
