--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -101,8 +101,6 @@
     private Settings settings;
     private Actions actions;
     private SplittableRandom random;
-    private Zones zones;
-    private long reunitedAt;  // what was sent before, while nobody answered this gateway, tells nothing of a host
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Share> tenants = new HashMap<>();
     private double[] usual;
@@ -158,7 +156,6 @@
         settings = given;
         actions = asked;
         random = new SplittableRandom(given.seed());
-        zones = new Zones(new SplittableRandom(~given.seed()), asked::log);
         usual = new double[given.classes().size()];
         for (RequestClass type : given.classes()) {
             usual[classes.size()] = type.aim() / 4.0;
@@ -253,7 +250,7 @@
             return;  // late or repeated: counted once, or the sums of what is out drift
         }
         settle(now, req, attempt, outcome, elapsed);
-        if (counts(now, attempt.server) && tells(attempt) && outcome != Outcome.REVOKED && outcome != Outcome.UNUSED) {
+        if (counts(now, attempt.server) && outcome != Outcome.REVOKED && outcome != Outcome.UNUSED) {
             servedAt[servedCount % SERVED] = now;
             double late = lateness(attempt.streaming ? req.since + elapsed : now, req);
             served[servedCount++ % SERVED] = outcome == Outcome.DELIVERED ? late : LOST;
@@ -316,25 +313,16 @@
                 learn(now, server, elapsed / usual[req.cls]);
             }
             case REVOKED, UNUSED -> { }
-            default -> {
-                if (tells(attempt) || outcome == Outcome.ERROR || outcome == Outcome.SHED) {
-                    failed(now, server, outcome);
-                }
-            }
+            default -> failed(now, server, outcome);
         }
     }
 
-    private boolean tells(Attempt attempt) {
-        return attempt.sentAt >= reunitedAt;
-    }
-
     private void failed(long now, Server server, Outcome outcome) {
         if (outcome == Outcome.ERROR || outcome == Outcome.SHED) {
             answered(now, server);
         } else if (outcome == Outcome.DIAL_FAILED && now - server.answeredAt > DOWN_AFTER) {
             markDown(now, server);
         }
-        lookAt(now, server.zone);
         learn(now, server, UNBOUNDED);
         measure(now, server);
         estimate(server);
@@ -344,63 +332,25 @@
     /** Once half of a zone is down, so is what has been silent there as long: a zone cut off or lost should
         not cost a request for each of its servers. */
     private void markDown(long now, Server server) {
-        down(now, server);
-        List<Server> zone = servers.values().stream().filter(s -> s.zone == server.zone).toList();
-        if (2 * zone.stream().filter(s -> s.down).count() > zone.size()) {
-            zone.stream().filter(s -> now - s.answeredAt > DOWN_AFTER).forEach(s -> down(now, s));
-        }
-    }
-
-    private static void down(long now, Server server) {
-        server.downAt = server.down ? server.downAt : now;
         server.down = true;
-        server.share = 0;
-    }
-
-    /** A zone that owes answers while others give them is left whole, before each of its hosts has cost a request. */
-    private void lookAt(long now, Zones.Zone zone) {
-        if (zones.lost(now, zone, servers.values(), Arrays.stream(usual).max().orElse(0))) {
-            servers.values().stream().filter(s -> s.zone == zone).forEach(s -> down(now, s));
+        String name = server.host.zone();
+        List<Server> zone = servers.values().stream().filter(s -> s.host.zone().equals(name)).toList();
+        if (2 * zone.stream().filter(s -> s.down).count() > zone.size()) {
+            zone.stream().filter(s -> now - s.answeredAt > DOWN_AFTER).forEach(s -> s.down = true);
         }
+        zone.stream().filter(s -> s.down).forEach(s -> s.share = 0);
     }
 
     /** A server that was silent may have restarted before the registry knows: it comes back as if cold. */
     private void answered(long now, Server server) {
         server.answeredAt = now;
         server.unanswered = 0;
-        long cut = zones.cutSince();
-        if (zones.answered(now, server.zone)) {
-            reunite(now, cut);
-        }
         if (server.down) {
             server.down = false;
             chill(now, server, now, SUSPECT_SPAN);
         }
     }
 
-    /** This gateway itself was cut off: what it took for silence since then says nothing of any host. */
-    private void reunite(long now, long cut) {
-        reunitedAt = now;
-        for (Server server : servers.values()) {
-            for (int i = 0; i < SAMPLES; i++) {
-                boolean silence = server.sample[i] >= UNBOUNDED && server.sampleAt[i] >= cut;
-                server.sampleAt[i] = silence ? -WINDOW : server.sampleAt[i];
-            }
-            if (server.waitAt >= cut) {
-                setWait(now, server, 0);
-            }
-            if (server.down && server.downAt >= cut) {
-                server.down = false;
-                server.unanswered = 0;
-                measure(now, server);
-                estimate(server);
-                server.share = target(now, server);
-            }
-        }
-        servedCount = 0;  // nor of how full they are
-        setPressure(now);
-    }
-
     private void learn(long now, Server server, double value) {
         int at = server.samples++ % SAMPLES;
         server.sampleAt[at] = now;
@@ -466,7 +416,7 @@
         }
         for (Attempt attempt : server.out) {
             double age = (now - attempt.sentAt) / usual[attempt.cls];
-            if (age > server.respTime && !attempt.streaming && tells(attempt)) {
+            if (age > server.respTime && !attempt.streaming) {
                 values[count++] = age;
             }
         }
@@ -506,15 +456,8 @@
             if (server.unanswered >= SILENT && now - server.unansweredSince > DOWN_AFTER && !server.down) {
                 markDown(now, server);
             }
-            if (server.down && !settings.limits().probes() && now - server.downAt > SUSPECT_SPAN) {
-                // Nothing else would ever tell that it answers again: as one that may have restarted it gets a little.
-                server.down = false;
-                server.unanswered = 0;
-                chill(now, server, now, SUSPECT_SPAN);
-                zones.comeBack(now, server.zone);
-            }
             measure(now, server);
-            long oldest = server.out.stream().filter(a -> a.sentAt > server.overtook && !a.streaming && tells(a))
+            long oldest = server.out.stream().filter(a -> a.sentAt > server.overtook && !a.streaming)
                     .findFirst().map(a -> now - a.sentAt).orElse(0L);
             if (oldest > waiting(now, server)) {
                 setWait(now, server, oldest);
@@ -533,8 +476,6 @@
             kind.rate += kind.warm == 0 ? 0 : weight * (rate - kind.rate);
         }
         learnLoads(now, false);
-        servers.values().stream().map(s -> s.zone).distinct().toList().forEach(zone -> lookAt(now, zone));
-        zones.refresh(now);
         if (now > idleUntil) {
             idleLimit = Long.MAX_VALUE;
         }
@@ -630,7 +571,7 @@
         if (server.down || server.host.health() != Health.UP || server.respTime > theta) {
             return 0;
         }
-        double near = server.zone.part * near(server.host.zone());
+        double near = near(server.host.zone());
         double size = near * server.kind.size * (weighted ? server.host.weight() : 1);
         return (theta - server.respTime) / theta * size * warmth(now, server) * server.serving;
     }
@@ -753,7 +694,7 @@
         }
         for (Held req : held.values()) {
             Attempt attempt = req.attempts.get(req.attempts.size() - 1);
-            if (now - req.since > req.type.aim() && !attempt.streaming && tells(attempt) && counts(now, attempt.server)) {
+            if (now - req.since > req.type.aim() && !attempt.streaming && counts(now, attempt.server)) {
                 all[total++] = lateness(now, req);
                 if (attempt.sentAt > attempt.server.overtook) {
                     values[count++] = lateness(now, req);
@@ -1086,14 +1027,10 @@
         if (server == null || host.born() > server.host.born()) {
             server = new Server(SAMPLES);
             server.answeredAt = now;
+            server.share = 0.5;
         }
         boolean fresh = server != known;
         server.host = host;
-        server.zone = zones.of(host.zone());
-        if (fresh) {
-            zones.comeBack(now, server.zone);
-            server.share = 0.5 * server.zone.part;
-        }
         server.kind = kinds.computeIfAbsent(host.kind(), k -> new Pool());
         servers.put(host.address(), server);
         if (fresh && host.born() > 0) {
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -29,7 +29,6 @@
     static final class Server {
         Balancer.Host host;
         Pool kind;
-        Zones.Zone zone;
         final long[] sampleAt;
         final double[] sample;
         int samples;
@@ -52,8 +51,6 @@
         double recent;
         long unansweredSince;
         boolean down;
-        long downAt;
-        long dialFailedAt;
         long coldSince;
         long coldSpan;
         double coldCredit;
