--- a/cli/src/main/java/mastdrift/cli/Springspar.java
+++ b/cli/src/main/java/mastdrift/cli/Springspar.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.Callable;
 import mastdrift.registry.Commands;
 import mastdrift.registry.DutyCommands;
+import mastdrift.registry.MemberCommands;
+import mastdrift.registry.ZoneCommands;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -25,7 +27,8 @@
         subcommands = {Springspar.Serve.class, Springspar.Adapter.class, Springspar.Status.class, Springspar.Metrics.class,
             Springspar.Standby.class, Springspar.Active.class, Springspar.Drain.class, Springspar.Completion.class,
             Commands.Registry.class, Commands.StartAgent.class, Commands.Endpoints.class, DutyCommands.Duty.class,
-            DutyCommands.RollCommand.class, CommandLine.HelpCommand.class})
+            DutyCommands.RollCommand.class, ZoneCommands.Zone.class, MemberCommands.Members.class,
+            CommandLine.HelpCommand.class})
 public final class Springspar implements Runnable {
 
     static final int YES = 0;
--- a/registry/src/main/java/mastdrift/registry/Agent.java
+++ b/registry/src/main/java/mastdrift/registry/Agent.java
@@ -5,12 +5,20 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -28,14 +36,16 @@
     All state is its event loop's. */
 public final class Agent implements AutoCloseable {
 
-    /** What an agent is told: its files, where gateways call it, and where the replicas are. */
-    public record Setup(Path folder, InetSocketAddress listen, List<InetSocketAddress> replicas) { }
+    /** What an agent is told: its files, where gateways call it, where the replicas are, and as which member it takes part,
+        null for none. */
+    public record Setup(Path folder, InetSocketAddress listen, List<InetSocketAddress> replicas, Membership.Setup member) { }
 
     private static final Logger LOG = LoggerFactory.getLogger(Agent.class);
     private static final int DIAL_MILLIS = 1000;
     private static final int SILENCE_MILLIS = 5000;  // a replica sends an empty line every 2 s
     private static final int PAUSE_LEAST_MILLIS = 50;
     private static final int PAUSE_MOST_MILLIS = 3000;
+    private static final int ASK_MILLIS = 5000;  // where the replicas are
     private static final int KEEP_MILLIS = 200;  // changes that come within are written once
     private static final int WATCHES_MOST = 64;
 
@@ -50,7 +60,12 @@
     private final Backoff backoff = new Backoff(PAUSE_LEAST_MILLIS, PAUSE_MOST_MILLIS,
             () -> ThreadLocalRandom.current().nextDouble());
     private final Path file;
+    private final Path addressFile;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(DIAL_MILLIS)).build();
+    private List<InetSocketAddress> replicas;  // those that the service names first, then those that were configured
     private final Gauges gauges = new Gauges();
+    private final Membership membership;  // null where this agent is no member
     private Follow follow;
     private int replica;
     private String source = "none";
@@ -70,6 +85,8 @@
         this.clock = clock;
         this.disk = disk;
         file = setup.folder().resolve("list.json");
+        addressFile = setup.folder().resolve("replicas.json");
+        replicas = setup.replicas();
         Files.createDirectories(setup.folder());
         try {
             byte[] kept = disk.read(file);
@@ -80,7 +97,15 @@
         } catch (IOException e) {
             LOG.info("list-file-refused {}", e.getMessage());
         }
-        replica = ThreadLocalRandom.current().nextInt(setup.replicas().size());
+        try {
+            byte[] kept = disk.read(addressFile);
+            if (kept != null && Json.object(kept).get("replicas") instanceof List<?> addresses) {
+                order(addresses.stream().map(Object::toString).toList());
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.info("addresses-file-refused {}", e.getMessage());
+        }
+        replica = ThreadLocalRandom.current().nextInt(replicas.size());
         feed = new Feed(loop, clock, list::rev, list::since, WATCHES_MOST);
         gauges.put("agent_revision", "Revision of the list that is served.", list::rev)
                 .put("agent_entries", "Entries on it.", list::size)
@@ -92,11 +117,55 @@
                 .put("agent_lists_not_kept", "Lists that could not be written to the file.", () -> unkept);
         http = Http.listen(loop, setup.listen(), this::handle);
         LOG.info("listening on {}:{}", setup.listen().getHostString(), http.port());
+        membership = setup.member() == null ? null : new Membership(setup.member(), setup.replicas().stream()
+                .map(at -> at.getHostString() + ":" + at.getPort()).toList(), clock);
         loop.execute(this::follow);
+        loop.scheduleWithFixedDelay(this::ask, ASK_MILLIS, ASK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void order(List<String> named) {
+        Set<InetSocketAddress> all = new LinkedHashSet<>();
+        named.forEach(address -> all.add(Http.address(address)));
+        all.addAll(setup.replicas());
+        replicas = List.copyOf(all);
+    }
+
+    /** Where the replicas are now: a service that moves one after the other is followed, also over a start of this agent. */
+    private void ask() {
+        if (!heard || source.equals("file") || source.equals("none")) {
+            return;
+        }
+        client.sendAsync(HttpRequest.newBuilder(URI.create("http://" + source + "/v1/registry"))
+                .timeout(Duration.ofMillis(DIAL_MILLIS)).build(), HttpResponse.BodyHandlers.ofByteArray())
+                .thenAccept(answer -> loop.execute(() -> learn(answer.body())));
+    }
+
+    private void learn(byte[] body) {
+        List<String> named = new ArrayList<>();
+        try {
+            if (Json.object(body).get("members") instanceof Map<?, ?> members) {
+                members.values().forEach(member -> {
+                    Object http = ((Map<?, ?>) member).get("http");
+                    if (http != null && http.toString().contains(":")) {
+                        named.add(http.toString());
+                    }
+                });
+            }
+            List<InetSocketAddress> before = replicas;
+            order(named);
+            if (!named.isEmpty() && !replicas.equals(before)) {
+                replica = Math.max(0, replicas.indexOf(before.get(replica % before.size())));
+                LOG.info("replicas {}", named);
+                byte[] bytes = Json.text(Map.of("replicas", named)).getBytes(StandardCharsets.UTF_8);
+                writer.execute(() -> write(addressFile, bytes));
+            }
+        } catch (IllegalArgumentException e) {
+            LOG.info("addresses-refused {}", e.getMessage());
+        }
     }
 
     private void follow() {
-        InetSocketAddress at = setup.replicas().get(replica);
+        InetSocketAddress at = replicas.get(replica % replicas.size());
         follow = Follow.begin(loop, at, "/v1/endpoints?watch=1&from=" + list.rev(),
                 Map.of("X-Least-Revision", Long.toString(list.rev())), DIAL_MILLIS, SILENCE_MILLIS,
                 line -> take(at, line), cause -> turn(at, cause));
@@ -136,7 +205,7 @@
     /** To the next replica, after a pause. */
     private void turn(InetSocketAddress at, String cause) {
         long pause = backoff.next();
-        replica = (replica + 1) % setup.replicas().size();
+        replica = (replica + 1) % replicas.size();
         LOG.info("replica-left {}:{} cause=\"{}\" pause={}", at.getHostString(), at.getPort(), cause, pause);
         loop.schedule(this::follow, pause, TimeUnit.MILLISECONDS);
     }
@@ -147,16 +216,16 @@
             loop.schedule(() -> {
                 keeping = false;
                 byte[] bytes = list.bytes();
-                writer.execute(() -> write(bytes));
+                writer.execute(() -> write(file, bytes));
             }, KEEP_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void write(byte[] bytes) {
+    private void write(Path to, byte[] bytes) {
         try {
-            disk.write(file, bytes);
+            disk.write(to, bytes);
         } catch (IOException e) {
-            LOG.info("list-not-kept {}", e.toString());
+            LOG.info("not-kept {} {}", to.getFileName(), e.toString());
             loop.execute(() -> unkept++);
         }
     }
@@ -191,6 +260,9 @@
         status.put("refused_spoilt", refusedSpoilt);
         status.put("not_kept", unkept);
         status.put("watches", feed.count());
+        if (membership != null) {
+            status.put("member", membership.status());
+        }
         return status;
     }
 
@@ -200,6 +272,9 @@
 
     @Override
     public void close() {
+        if (membership != null) {
+            membership.close();
+        }
         http.close();
         loop.submit(() -> follow.stop()).syncUninterruptibly();
         writer.shutdown();
--- a/registry/src/main/java/mastdrift/registry/Catalogue.java
+++ b/registry/src/main/java/mastdrift/registry/Catalogue.java
@@ -48,7 +48,8 @@
 
     private final Listing listing = new Listing();
     private final Duties duties = new Duties();
-    private final Members processes = new Members();
+    private final Members processes = new Members(this::mark);
+    private final Evacuations evacuations = new Evacuations(listing, this::nextRevision);
     private final Map<String, Lease> leases = new HashMap<>();
     private final Map<String, Deque<Lapsed>> lapsed = new HashMap<>();  // by zone, the last term's
     private final Map<String, Long> leaving = new TreeMap<>();  // when those that were removed are gone
@@ -87,6 +88,7 @@
                 default -> {
                     Applied applied = duties.apply(command, time, news);
                     applied = applied == null ? processes.apply(command, time, news) : applied;
+                    applied = applied == null ? evacuations.apply(command, time, news) : applied;
                     yield applied == null ? no(400, "unknown command " + command.get("do"), news) : applied;
                 }
             };
@@ -105,9 +107,10 @@
             case "entry" -> entry(Objects.toString(command.get("name")));
             case "duty" -> duties.shown(Objects.toString(command.get("name")));
             case "members" -> processes.shown();
+            case "zones" -> evacuations.shown(time);
             case "list" -> Json.object(listing.whole().text());
             case "state" -> state();
-            default -> throw new IllegalArgumentException("what: expected entry, duty, members, list or state");
+            default -> throw new IllegalArgumentException("what: expected entry, duty, members, zones, list or state");
         };
         return found == null ? no(404, "no " + command.get("what") + " " + command.get("name"), news)
                 : new Applied(200, found, news);
@@ -132,10 +135,15 @@
     /** A write on entries may name the duty for which it is made, and the token: once that is not the newest, it does
         nothing, however late it comes. */
     protected boolean fenced(Map<String, Object> command) {
-        return command.containsKey("token") && List.of("put", "drain", "remove").contains(command.get("do"))
+        return command.containsKey("token") && List.of("put", "drain", "remove", "evacuate", "return").contains(command.get("do"))
                 && !duties.current(Objects.toString(command.get("duty")), number(command, "token", 0));
     }
 
+    /** Reports that it takes of so many watchers, where {@link Members#WATCHERS} would need {@code of}. */
+    protected int mark(int of, int watching) {
+        return Math.max(1, (int) Math.ceil((double) of * watching / Members.WATCHERS));
+    }
+
     /** The revision of the next change. */
     protected long nextRevision() {
         return listing.rev() + 1;
@@ -157,8 +165,9 @@
         long span = number(command, "lease_ms", 0);
         leases.put(entry.uid(), new Lease(span, span == 0 ? Long.MAX_VALUE : time + span, false));
         leaving.remove(entry.uid());
-        if (!entry.equals(listing.get(entry.uid()))) {
-            listing.put(entry, nextRevision());
+        Entry listed = evacuations.listed(entry, time);
+        if (!listed.equals(listing.get(entry.uid()))) {
+            listing.put(listed, nextRevision());
         }
         return yes(entry.uid(), news);
     }
@@ -188,6 +197,7 @@
         if (!meets(command, uid)) {
             return no(409, "its revision is another", news, "rev", listing.revision(uid));
         }
+        evacuations.forget(uid);
         if (entry.state().equals(Entry.IN_SERVICE)) {
             listing.put(entry.in(Entry.TERMINATING), nextRevision());
         }
@@ -215,6 +225,7 @@
     private void gone(String uid) {
         leases.remove(uid);
         leaving.remove(uid);
+        evacuations.forget(uid);
         listing.remove(uid, nextRevision());
     }
 
@@ -248,6 +259,7 @@
         leaving.replaceAll((uid, at) -> time + LEAVING_MILLIS);
         lapsed.clear();
         duties.reign(time);
+        evacuations.rebase(time);
         processes.jump();
         news.add("restored entries=" + listing.size() + " rev=" + jumped);
         return new Applied(200, Map.of("rev", jumped, "entries", listing.size()), news);
@@ -256,7 +268,8 @@
     /** A replica's folder is the one that is counted under its name, with that mark. */
     private Applied member(Map<String, Object> command, List<String> news) {
         String name = Objects.toString(command.get("name"));
-        Map<String, Object> next = Map.of("id", Objects.toString(command.get("id")), "mark", number(command, "mark", 0));
+        Map<String, Object> next = Map.of("id", Objects.toString(command.get("id")), "mark", number(command, "mark", 0),
+                "http", Objects.toString(command.get("http"), ""));
         Map<String, Object> before = members.put(name, next);
         if (before == null || !before.get("id").equals(next.get("id"))) {
             news.add("replica " + next.get("id"));
@@ -276,6 +289,7 @@
                 gone(uid);
             }
         }
+        evacuations.tick(time, news);
         duties.tick(time, news);
         processes.tick(time, news);
         Map<String, List<String>> due = new TreeMap<>();
@@ -370,6 +384,24 @@
         return listing.entries().stream().map(entry -> entry(entry.uid())).toList();
     }
 
+    /** Zones that are out, or on their way. */
+    public synchronized int zonesMoved() {
+        return evacuations.count();
+    }
+
+    public synchronized long viewNumber() {
+        return processes.view();
+    }
+
+    public synchronized int memberCount() {
+        return processes.present().size();
+    }
+
+    /** The newest view that this replica has; its number alone for one who has it already. */
+    public synchronized Map<String, Object> view(long after) {
+        return processes.view() == after ? Map.of("view", after) : processes.shown();
+    }
+
     /** All state, for a snapshot. */
     public synchronized Map<String, Object> state() {
         Map<String, Object> state = new LinkedHashMap<>();
@@ -402,6 +434,7 @@
         state.put("duties", duties.state());
         state.put("members", members());
         state.put("processes", processes.state());
+        state.put("evacuations", evacuations.state());
         return state;
     }
 
@@ -440,10 +473,12 @@
         members.clear();
         if (state.get("members") instanceof Map<?, ?> known) {
             known.forEach((name, member) -> members.put(name.toString(), Map.of("id", ((Map<?, ?>) member).get("id"), "mark",
-                    ((Number) ((Map<?, ?>) member).get("mark")).longValue())));
+                    ((Number) ((Map<?, ?>) member).get("mark")).longValue(), "http",
+                    Objects.toString(((Map<?, ?>) member).get("http"), ""))));
         }
         duties.restore((Map<?, ?>) state.get("duties"));
         processes.restore((Map<?, ?>) state.get("processes"));
+        evacuations.restore((Map<?, ?>) state.get("evacuations"));
         listing.floor(number(state, "floor", 0));
         listing.advance(number(state, "rev", 0));
         time = number(state, "time", 0);
--- a/registry/src/main/java/mastdrift/registry/Commands.java
+++ b/registry/src/main/java/mastdrift/registry/Commands.java
@@ -115,6 +115,16 @@
                 description = "where gateways call it (default: ${DEFAULT-VALUE})")
         private String listen;
 
+        @Option(names = "--member", paramLabel = "NAME", description = "takes part in the membership under that name")
+        private String name;
+
+        @Option(names = "--zone", defaultValue = "", description = "its zone, as a member")
+        private String zone;
+
+        @Option(names = "--address", paramLabel = "ADDRESS:PORT",
+                description = "where other members reach it (default: what --listen says)")
+        private String address;
+
         @Option(names = "--registry", paramLabel = "ADDRESS:PORT", split = ",", defaultValue = "127.0.0.1:9400",
                 description = "the replicas (default: ${DEFAULT-VALUE})")
         private List<String> registry;
@@ -123,7 +133,9 @@
         public Integer call() throws Exception {
             List<InetSocketAddress> replicas = registry.stream().map(Http::address).toList();
             Main.endOnFaults();
-            Agent agent = new Agent(new Agent.Setup(folder, Http.address(listen), replicas), Clock.SYSTEM, new Disk());
+            Membership.Setup member = name == null ? null : new Membership.Setup(name, "agent", zone,
+                    (address == null ? listen : address) + "/v1/agent");
+            Agent agent = new Agent(new Agent.Setup(folder, Http.address(listen), replicas, member), Clock.SYSTEM, new Disk());
             Runtime.getRuntime().addShutdownHook(new Thread(agent::close));
             Thread.currentThread().join();
             return YES;
--- a/registry/src/main/java/mastdrift/registry/DutyCommands.java
+++ b/registry/src/main/java/mastdrift/registry/DutyCommands.java
@@ -26,6 +26,8 @@
 
     /** The duty of those who conduct rolls. */
     static final String ROLL = "roll";
+    /** And of those who take off entries of hosts that died too many at once. */
+    static final String SWEEP = "sweep";
     private static final Logger LOG = LoggerFactory.getLogger(DutyRunner.class);
     private static final int CALL_MILLIS = 600;
 
@@ -59,7 +61,7 @@
             description = "Waits for a duty, and does its work while it is held; a clean end hands it over at once.")
     static final class Run implements Callable<Integer> {
 
-        @Parameters(index = "0", paramLabel = "NAME", description = "which: roll")
+        @Parameters(index = "0", paramLabel = "NAME", description = "which: roll or sweep")
         private String name;
 
         @Option(names = "--registry", paramLabel = "ADDRESS:PORT", split = ",", defaultValue = "127.0.0.1:9400",
@@ -78,8 +80,8 @@
 
         @Override
         public Integer call() throws InterruptedException {
-            if (!name.equals(ROLL)) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "expected roll, not " + name);
+            if (!name.equals(ROLL) && !name.equals(SWEEP)) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "expected roll or sweep, not " + name);
             }
             Main.endOnFaults();
             CountDownLatch end = new CountDownLatch(1);
@@ -101,8 +103,10 @@
     /** Until {@code end}; then the duty is released. */
     public static void run(String name, String who, long termMillis, List<String> registry, Clock clock, CountDownLatch end)
             throws InterruptedException {
-        DutyRunner runner = new DutyRunner(name, who, termMillis, new HttpDutyService(registry, Duration.ofMillis(CALL_MILLIS)),
-                new Roll(new HttpGateways(name)), clock, line -> LOG.info("{}", line));
+        HttpReplicas replicas = new HttpReplicas(registry, Duration.ofMillis(CALL_MILLIS));
+        DutyWork work = name.equals(SWEEP) ? new Sweep(new HttpEntries(replicas, name)) : new Roll(new HttpGateways(name));
+        DutyRunner runner = new DutyRunner(name, who, termMillis, new HttpDutyService(replicas), work, clock,
+                line -> LOG.info("{}", line));
         LOG.info("candidate {} for {}", who, name);
         while (!end.await(0, TimeUnit.MILLISECONDS)) {
             end.await(pause(runner.turn()), TimeUnit.MILLISECONDS);
--- a/registry/src/main/java/mastdrift/registry/HttpDutyService.java
+++ b/registry/src/main/java/mastdrift/registry/HttpDutyService.java
@@ -1,32 +1,17 @@
 package mastdrift.registry;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import mastdrift.common.Json;
 
-/** The list service by its calls: the replica that answered last, then the others in turn. */
+/** Duties by the list service's calls. */
 final class HttpDutyService implements DutyService {
 
-    private static final int NOT_DONE = 503;
-    private static final int NOT_KNOWN = 504;
+    private final HttpReplicas replicas;
 
-    private final List<String> replicas;
-    private final Duration within;
-    private final HttpClient client;
-    private int at;
-
-    /** A call ends within {@code within} for each replica. */
-    HttpDutyService(List<String> replicas, Duration within) {
+    HttpDutyService(HttpReplicas replicas) {
         this.replicas = replicas;
-        this.within = within;
-        client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(within).build();
     }
 
     @Override
@@ -59,29 +44,8 @@
         return call(duty, null);
     }
 
-    /** What all calls here are: harmless when made twice, so that the next replica may be asked after one that is silent. */
     private Answer call(String path, Map<String, Object> body) throws IOException {
-        IOException last = null;
-        for (int tries = 0; tries < replicas.size(); tries++) {
-            HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + replicas.get(at) + "/v1/duties/"
-                    + path)).timeout(within);
-            request = body == null ? request.GET() : request.POST(HttpRequest.BodyPublishers.ofString(Json.text(body)));
-            try {
-                HttpResponse<byte[]> answer = client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
-                if (answer.statusCode() != NOT_DONE && answer.statusCode() != NOT_KNOWN) {
-                    return new Answer(answer.statusCode() / 100 == 2, Json.object(answer.body()));
-                }
-                last = new IOException(replicas.get(at) + " answers " + answer.statusCode());
-            } catch (IOException e) {
-                last = new IOException(replicas.get(at) + ": " + (e.getMessage() == null ? "no answer" : e.getMessage()), e);
-            } catch (IllegalArgumentException e) {
-                last = new IOException(replicas.get(at) + " answers nonsense: " + e.getMessage(), e);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                throw new IOException("interrupted", e);
-            }
-            at = (at + 1) % replicas.size();
-        }
-        throw last;
+        HttpReplicas.Answer answer = replicas.call(body == null ? "GET" : "POST", "/v1/duties/" + path, body);
+        return new Answer(answer.yes(), Json.object(answer.body()));
     }
 }
--- a/registry/src/main/java/mastdrift/registry/Main.java
+++ b/registry/src/main/java/mastdrift/registry/Main.java
@@ -7,7 +7,7 @@
 
 /** The list service's commands alone; the springspar command has them too. */
 @Command(name = "registry", subcommands = {Commands.Registry.class, Commands.StartAgent.class, Commands.Endpoints.class,
-        DutyCommands.Duty.class, DutyCommands.RollCommand.class})
+        DutyCommands.Duty.class, DutyCommands.RollCommand.class, ZoneCommands.Zone.class, MemberCommands.Members.class})
 public final class Main {
 
     private Main() { }
--- a/registry/src/main/java/mastdrift/registry/Members.java
+++ b/registry/src/main/java/mastdrift/registry/Members.java
@@ -1,9 +1,11 @@
 package mastdrift.registry;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,20 +14,28 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.IntBinaryOperator;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /** Who is present, as views that the log numbers, and who reports whom. Part of {@link Catalogue}, under whose lock it is; see
     docs/members.md. */
 final class Members {
 
-    /** A process by its name, and which start of it. */
-    record Member(String name, String role, String zone, long incarnation, String version) {
+    /** A process by its name, which start of it, and where others call it. */
+    record Member(String name, String role, String zone, String address, long incarnation, String version) {
+
+        static Member of(Map<?, ?> shown) {
+            return new Member(shown.get("name").toString(), shown.get("role").toString(), shown.get("zone").toString(),
+                    Objects.toString(shown.get("address"), ""), ((Number) shown.get("incarnation")).longValue(),
+                    shown.get("version").toString());
+        }
 
         Map<String, Object> shown() {
             Map<String, Object> shown = new LinkedHashMap<>();
             shown.put("name", name);
             shown.put("role", role);
             shown.put("zone", zone);
+            shown.put("address", address);
             shown.put("incarnation", incarnation);
             shown.put("version", version);
             return shown;
@@ -40,7 +50,23 @@
     /** So long a member may stay open by the log's time, before what speaks against it is let go of. */
     static final long OPEN_MILLIS = 10_000;
     static final long RESTORED_JUMP = 1_000_000;
+    /** So many changes are remembered, for staff who ask why. */
+    static final int EVENTS_KEPT = 200;
+
+    /** A change of views: who came or went, how, and by whose reports. */
+    private record Change(long view, String how, List<String> members, List<String> by) {
+
+        Map<String, Object> shown() {
+            Map<String, Object> shown = new LinkedHashMap<>();
+            shown.put("view", view);
+            shown.put("how", how);
+            shown.put("members", members);
+            shown.put("by", by);
+            return shown;
+        }
+    }
 
+    private final Deque<Change> changes = new ArrayDeque<>();
     private final Map<String, Member> present = new TreeMap<>();
     private final Map<String, Long> gone = new TreeMap<>();  // the last incarnation of those that have left
     private final Map<String, Set<String>> reports = new TreeMap<>();  // who reports a member, by it
@@ -48,6 +74,12 @@
     private final Set<String> deaf = new TreeSet<>();
     private Map<String, List<String>> watchers;  // of the present view; null until somebody asks
     private long view;
+    private final IntBinaryOperator mark;
+
+    /** {@code mark} gives of a mark for {@link #WATCHERS} that for fewer watchers. */
+    Members(IntBinaryOperator mark) {
+        this.mark = mark;
+    }
 
     long view() {
         return view;
@@ -64,7 +96,7 @@
         switch (Objects.toString(command.get("do"))) {
             case "join" -> {
                 return join(new Member(name, Objects.toString(command.get("role"), ""), Objects.toString(command.get("zone"), ""),
-                        incarnation, Objects.toString(command.get("version"), "")), news);
+                        Objects.toString(command.get("address"), ""), incarnation, Objects.toString(command.get("version"), "")), news);
             }
             case "leave" -> {
                 Catalogue.Applied refused = refused(name, incarnation, news);
@@ -101,6 +133,7 @@
         present.put(member.name, member);
         gone.remove(member.name);
         turned(member.name);
+        remember("joined", List.of(member.name), List.of());
         news.add("view " + view + ": joined " + member.name + "#" + member.incarnation);
         return told(news);
     }
@@ -158,14 +191,10 @@
                 .filter(by -> reporting.contains(by) || suspects.contains(by)).count();
     }
 
-    private static int mark(int of, int watching) {
-        return Math.max(1, (int) Math.ceil((double) of * watching / WATCHERS));
-    }
-
     private void decide(long time, List<String> news) {
         Set<String> suspects = new TreeSet<>();
         reports.forEach((subject, by) -> {
-            if (by.size() >= mark(LOW, watchers().getOrDefault(subject, List.of()).size())) {
+            if (by.size() >= mark.applyAsInt(LOW, watchers().getOrDefault(subject, List.of()).size())) {
                 suspects.add(subject);
             }
         });
@@ -174,9 +203,9 @@
         for (String subject : reports.keySet()) {
             int watching = watchers().getOrDefault(subject, List.of()).size();
             int against = against(subject, suspects);
-            if (against >= mark(HIGH, watching)) {
+            if (against >= mark.applyAsInt(HIGH, watching)) {
                 sure.add(subject);
-            } else if (against >= mark(LOW, watching)) {
+            } else if (against >= mark.applyAsInt(LOW, watching)) {
                 open.add(subject);
             }
         }
@@ -202,12 +231,22 @@
     }
 
     private void change(List<String> leaving, String how, List<String> news) {
+        Set<String> by = new TreeSet<>();
+        leaving.forEach(name -> by.addAll(reports.getOrDefault(name, Set.of())));
         leaving.forEach(name -> gone.put(name, present.remove(name).incarnation));
         leaving.forEach(this::forget);
         turned(null);
+        remember(how, leaving, how.equals("removed") ? by : Set.of());
         news.add("view " + view + ": " + how + " " + String.join(" ", leaving));
     }
 
+    private void remember(String how, Collection<String> who, Collection<String> by) {
+        changes.add(new Change(view, how, List.copyOf(who), List.copyOf(by)));
+        if (changes.size() > EVENTS_KEPT) {
+            changes.poll();
+        }
+    }
+
     private void forget(String name) {
         reports.remove(name);
         reports.values().forEach(by -> by.remove(name));
@@ -275,6 +314,7 @@
         reports.forEach((subject, by) -> why.put(subject, List.copyOf(by)));
         shown.put("reports", why);
         shown.put("deaf", List.copyOf(deaf));
+        shown.put("events", changes.stream().map(Change::shown).toList());
         return shown;
     }
 
@@ -292,12 +332,11 @@
         reports.clear();
         openSince.clear();
         deaf.clear();
+        changes.clear();
         view = 0;
         if (state != null) {
             ((List<?>) state.get("members")).forEach(each -> {
-                Map<?, ?> one = (Map<?, ?>) each;
-                Member member = new Member(one.get("name").toString(), one.get("role").toString(), one.get("zone").toString(),
-                        ((Number) one.get("incarnation")).longValue(), one.get("version").toString());
+                Member member = Member.of((Map<?, ?>) each);
                 present.put(member.name, member);
             });
             ((Map<?, ?>) state.get("gone")).forEach((name, last) -> gone.put(name.toString(), ((Number) last).longValue()));
@@ -308,11 +347,22 @@
             });
             ((Map<?, ?>) state.get("open")).forEach((name, at) -> openSince.put(name.toString(), ((Number) at).longValue()));
             ((List<?>) state.get("deaf")).forEach(each -> deaf.add(each.toString()));
+            if (state.get("events") instanceof List<?> known) {
+                known.forEach(each -> {
+                    Map<?, ?> change = (Map<?, ?>) each;
+                    changes.add(new Change(((Number) change.get("view")).longValue(), change.get("how").toString(),
+                            texts(change.get("members")), texts(change.get("by"))));
+                });
+            }
             view = ((Number) state.get("view")).longValue();
         }
         watchers = null;
     }
 
+    private static List<String> texts(Object list) {
+        return ((List<?>) list).stream().map(Object::toString).toList();
+    }
+
     /** From a backup: views that were seen since it was made are behind. */
     void jump() {
         view += RESTORED_JUMP;
--- /dev/null
+++ b/registry/src/main/java/mastdrift/registry/Membership.java
@@ -0,0 +1,231 @@
+package mastdrift.registry;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import mastdrift.common.Clock;
+import mastdrift.common.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A process's part in the membership: it joins, watches those that the view gives it by plain calls at addresses that they have
+ * anyway, and tells the log whom it does not hear. One thread calls the list service, another the members, so that a service
+ * that is away delays nobody's calls.
+ */
+public final class Membership implements AutoCloseable {
+
+    /**
+     * What a member is told of itself.
+     *
+     * @param name one process's alone
+     * @param role what it is: agent, registry
+     * @param zone where it is
+     * @param address where others call it; whatever it answers counts
+     */
+    public record Setup(String name, String role, String zone, String address) { }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+    private static final String VERSION = "0.1.0";
+    private static final long EVERY_MILLIS = 500;
+    private static final Duration ANSWER_WITHIN = Duration.ofMillis(450);
+    private static final Duration SERVICE_WITHIN = Duration.ofMillis(600);
+    private static final long AGAIN_MICROS = 5_000_000;  // an opinion is told again, lest one was lost
+    private static final int GONE = 410;
+    private static final int OTHERS = 409;
+
+    private final Setup setup;
+    private final Clock clock;
+    private final Detector detector;
+    private final HttpReplicas replicas;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(ANSWER_WITHIN)
+            .build();
+    private final ScheduledExecutorService calls = Executors.newSingleThreadScheduledExecutor();
+    private final ScheduledExecutorService service = Executors.newSingleThreadScheduledExecutor();
+    private final boolean raises;
+    private long incarnation;  // the service thread's, as all below
+    private boolean joined;
+    private boolean displaced;
+    private Detector.Opinion told;
+    private long toldAt;
+    private volatile long heardAt;  // of the service
+
+    /** Takes part from now on, and for as long as the process lives. */
+    public Membership(Setup setup, List<String> replicas, Clock clock) {
+        this(setup, replicas, clock, new Detector(setup.name(), EVERY_MILLIS * 1000), true);
+    }
+
+    /** {@code raises} false and another detector are wrong on purpose, for the rig. */
+    public Membership(Setup setup, List<String> replicas, Clock clock, Detector detector, boolean raises) {
+        this.setup = setup;
+        this.clock = clock;
+        this.detector = detector;
+        this.raises = raises;
+        this.replicas = new HttpReplicas(replicas, SERVICE_WITHIN);
+        incarnation = clock.wall();
+        heardAt = clock.monotonic();
+        calls.scheduleWithFixedDelay(this::call, EVERY_MILLIS, EVERY_MILLIS, TimeUnit.MILLISECONDS);
+        service.scheduleWithFixedDelay(this::serve, 0, EVERY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void call() {
+        long now = clock.monotonic();
+        List<Members.Member> due = new ArrayList<>();
+        synchronized (detector) {
+            detector.turn(now).forEach(name -> due.add(detector.member(name)));
+        }
+        for (Members.Member member : due) {
+            client.sendAsync(HttpRequest.newBuilder(URI.create("http://" + member.address())).timeout(ANSWER_WITHIN).build(),
+                    HttpResponse.BodyHandlers.discarding()).thenAccept(answer -> {
+                        synchronized (detector) {
+                            detector.heard(clock.monotonic(), member.name());
+                        }
+                    });
+        }
+    }
+
+    private void serve() {
+        try {
+            if (displaced) {
+                return;
+            }
+            if (!joined) {
+                join();
+            }
+            look();
+            report();
+        } catch (IOException e) {
+            LOG.debug("members: {}", e.getMessage());  // the service is away: nobody is removed meanwhile
+        } catch (RuntimeException e) {
+            LOG.info("members-failed {}", e.toString());
+        }
+    }
+
+    private Map<String, Object> own() {
+        Map<String, Object> own = new LinkedHashMap<>();
+        own.put("role", setup.role());
+        own.put("zone", setup.zone());
+        own.put("address", setup.address());
+        own.put("incarnation", incarnation);
+        own.put("version", VERSION);
+        return own;
+    }
+
+    private HttpReplicas.Answer post(String what, Map<String, Object> body) throws IOException {
+        HttpReplicas.Answer answer = replicas.call("POST", "/v1/members/" + setup.name() + "/" + what, body);
+        heardAt = clock.monotonic();
+        return answer;
+    }
+
+    private void join() throws IOException {
+        HttpReplicas.Answer answer = post("join", own());
+        if (answer.status() == OTHERS && raises
+                && Json.object(answer.body()).get("incarnation") instanceof Number known) {
+            incarnation = known.longValue() + 1;  // this start is the newer one
+            answer = post("join", own());
+        }
+        if (answer.yes()) {
+            joined = true;
+            told = null;
+            LOG.info("member-joined {}#{}", setup.name(), incarnation);
+        }
+    }
+
+    /** The newest view that some replica has; an older one than was seen is passed over. */
+    private void look() throws IOException {
+        Map<String, Object> shown = Json.object(replicas.call("GET", "/v1/members?after=" + detector.view(), null).body());
+        heardAt = clock.monotonic();
+        if (!(shown.get("members") instanceof List<?> given)) {
+            return;
+        }
+        List<Members.Member> present = given.stream().map(each -> Members.Member.of((Map<?, ?>) each)).toList();
+        long view = ((Number) shown.get("view")).longValue();
+        boolean newer;
+        synchronized (detector) {
+            newer = detector.take(clock.monotonic(), view, present);
+        }
+        if (newer) {
+            LOG.info("view {} at {} of {}", view, clock.monotonic(), String.join(",", new TreeSet<>(present.stream()
+                    .map(member -> member.name() + "#" + member.incarnation()).toList())));
+            Members.Member mine = present.stream().filter(member -> member.name().equals(setup.name())).findAny().orElse(null);
+            if (mine == null) {
+                removed();
+            } else if (mine.incarnation() > incarnation) {
+                displace(mine.incarnation());
+            }
+        }
+    }
+
+    /** Alive, and removed: it comes back as another incarnation, and what it held is another's. */
+    private void removed() {
+        if (joined) {
+            LOG.info("member-removed {}#{}", setup.name(), incarnation);
+            joined = false;
+            incarnation += raises ? 1 : 0;
+        }
+    }
+
+    private void displace(long by) {
+        displaced = true;
+        LOG.info("member-displaced {}#{} by #{}: another process has this name", setup.name(), incarnation, by);
+    }
+
+    private void report() throws IOException {
+        Detector.Opinion opinion;
+        long now = clock.monotonic();
+        synchronized (detector) {
+            opinion = detector.opinion(now);
+        }
+        if (!joined || opinion.equals(told) && now - toldAt < AGAIN_MICROS) {
+            return;
+        }
+        HttpReplicas.Answer answer = post("report", Map.of("incarnation", incarnation, "silent", List.copyOf(opinion.silent()),
+                "deaf", opinion.deaf()));
+        if (answer.yes()) {
+            told = opinion;
+            toldAt = now;
+        } else if (answer.status() == GONE) {
+            removed();
+        } else if (answer.status() == OTHERS) {
+            displace(incarnation + 1);
+        }
+    }
+
+    /** What staff see of it; the age counts from the service's last answer, in seconds. */
+    public Map<String, Object> status() {
+        Map<String, Object> status = new LinkedHashMap<>();
+        synchronized (detector) {
+            status.put("view", detector.view());
+            status.put("view_age_s", (clock.monotonic() - heardAt) / 1e6);
+            status.put("suspicion", detector.phi(clock.monotonic()));
+        }
+        return status;
+    }
+
+    /** Leaves on purpose. */
+    @Override
+    public void close() {
+        calls.shutdownNow();
+        service.shutdownNow();
+        try {
+            if (service.awaitTermination(2, TimeUnit.SECONDS) && joined && !displaced) {
+                post("leave", Map.of("incarnation", incarnation));
+            }
+        } catch (IOException e) {
+            LOG.info("member-not-left {}", e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/registry/src/main/java/mastdrift/registry/Replica.java
+++ b/registry/src/main/java/mastdrift/registry/Replica.java
@@ -114,6 +114,9 @@
         gauges.put("registry_revision", "Newest revision that this replica has.", catalogue::rev)
                 .put("registry_entries", "Entries on the list.", catalogue::size)
                 .put("registry_entries_stale", "Entries whose leases are over and which are kept all the same.", catalogue::stale)
+                .put("registry_zones_moved", "Zones that are evacuated, or on their way out or back.", catalogue::zonesMoved)
+                .put("registry_view", "Number of the newest view of members.", catalogue::viewNumber)
+                .put("registry_members", "Members of it.", catalogue::memberCount)
                 .put("registry_leads", "1 where this replica leads.", () -> leads ? 1 : 0)
                 .put("registry_watches", "Open watches.", feed::count)
                 .put("registry_watches_cut", "Watches cut because nothing was taken for 10 s.", feed::cut)
@@ -190,7 +193,9 @@
             Identity next = identity.marked();
             next.write(setup.folder(), disk);
             identity = next;
-            send(Catalogue.command("member", "name", next.name(), "id", next.id(), "mark", next.mark()));
+            Peers.Address own = setup.peers().get(setup.name());
+            send(Catalogue.command("member", "name", next.name(), "id", next.id(), "mark", next.mark(), "http",
+                    own == null ? "" : own.http()));
         } catch (IOException | RuntimeException e) {
             LOG.info("mark-failed {}", e.toString());
         }
@@ -297,10 +302,18 @@
         } else if (path.startsWith("/v1/entries/") && method.equals("DELETE")) {
             write(call, conditions(call, Catalogue.command("remove", "uid", path.substring("/v1/entries/".length()), "now",
                     "1".equals(call.query("now")))));
+        } else if (path.equals("/v1/zones") && method.equals("GET")) {
+            write(call, Catalogue.command("read", "what", "zones"));
+        } else if (path.startsWith("/v1/zones/") && method.equals("POST")) {
+            named(call, path.substring("/v1/zones/".length()).split("/"), "zone", "evacuate", "return");
         } else if (path.equals("/v1/members") && method.equals("GET")) {
-            write(call, Catalogue.command("read", "what", "members"));
+            if (call.query("after") != null) {
+                call.json(200, Json.text(catalogue.view(call.number("after", 0))));  // a newer one comes soon enough
+            } else {
+                write(call, Catalogue.command("read", "what", "members"));
+            }
         } else if (path.startsWith("/v1/members/") && method.equals("POST")) {
-            member(call, path.substring("/v1/members/".length()).split("/"));
+            named(call, path.substring("/v1/members/".length()).split("/"), "name", "join", "leave", "report");
         } else if (path.equals("/v1/duties") && method.equals("GET")) {
             if ("1".equals(call.query("watch"))) {
                 dutyFeed.watch(call, call.number("from", 0));
@@ -310,31 +323,22 @@
         } else if (path.startsWith("/v1/duties/") && method.equals("GET")) {
             write(call, Catalogue.command("read", "what", "duty", "name", path.substring("/v1/duties/".length())));
         } else if (path.startsWith("/v1/duties/") && method.equals("POST")) {
-            duty(call, path.substring("/v1/duties/".length()).split("/"));
+            named(call, path.substring("/v1/duties/".length()).split("/"), "duty", "acquire", "hold", "release", "record", "order");
         } else {
             call.json(404, "{\"error\":\"no such call\"}");
         }
     }
 
-    /** {@code /v1/members/NAME/join}, {@code leave}, {@code report}: likewise. */
-    private void member(Http.Call call, String[] parts) throws IOException {
-        if (parts.length != 2 || !List.of("join", "leave", "report").contains(parts[1])) {
+    /** {@code NAME/WHAT} of a member, a duty or a zone: the body has the rest of the command. */
+    private void named(Http.Call call, String[] parts, String key, String... known) throws IOException {
+        if (parts.length != 2 || !List.of(known).contains(parts[1])) {
             call.json(404, "{\"error\":\"no such call\"}");
             return;
         }
-        Map<String, Object> command = Catalogue.command(parts[1], "name", parts[0]);
-        Json.object(call.body()).forEach(command::putIfAbsent);
-        write(call, command);
-    }
-
-    /** {@code /v1/duties/NAME/acquire}, {@code hold}, {@code release}, {@code record}, {@code order}: the body has the rest of the command. */
-    private void duty(Http.Call call, String[] parts) throws IOException {
-        if (parts.length != 2 || !List.of("acquire", "hold", "release", "record", "order").contains(parts[1])) {
-            call.json(404, "{\"error\":\"no such call\"}");
-            return;
+        Map<String, Object> command = Catalogue.command(parts[1], key, parts[0]);
+        if (call.body().length > 0) {
+            Json.object(call.body()).forEach(command::putIfAbsent);
         }
-        Map<String, Object> command = Catalogue.command(parts[1], "duty", parts[0]);
-        Json.object(call.body()).forEach(command::putIfAbsent);
         write(call, command);
     }
 
--- a/registry/src/main/java/mastdrift/registry/Suspicion.java
+++ b/registry/src/main/java/mastdrift/registry/Suspicion.java
@@ -60,7 +60,8 @@
         return chance <= 0 ? Double.MAX_VALUE : -Math.log10(chance);
     }
 
-    boolean silent(long now) {
-        return phi(now) > SILENT;
+    /** Since its last answer. */
+    long quiet(long now) {
+        return now - last;
     }
 }
--- a/rig/src/main/java/mastdrift/rig/Checks.java
+++ b/rig/src/main/java/mastdrift/rig/Checks.java
@@ -15,6 +15,7 @@
             "acknowledged", AcknowledgedCheck::new,
             "holders", HolderCheck::new,
             "views", ViewCheck::new,
+            "members", MemberCheck::new,
             "roll", RollCheck::new));
     static final List<String> NAMES = List.copyOf(ALL.keySet());
 
--- a/rig/src/main/java/mastdrift/rig/Hooked.java
+++ b/rig/src/main/java/mastdrift/rig/Hooked.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,8 +16,10 @@
 import mastdrift.common.Http;
 import mastdrift.registry.Agent;
 import mastdrift.registry.Catalogue;
+import mastdrift.registry.Detector;
 import mastdrift.registry.DutyCommands;
 import mastdrift.registry.Listing;
+import mastdrift.registry.Membership;
 import mastdrift.registry.Peers;
 import mastdrift.registry.Replica;
 
@@ -31,7 +32,8 @@
     private Hooked() { }
 
     /** Arguments: file of hooks, variant or {@code none}, then {@code registry name folder listen raft name=peer...} or
-        {@code agent folder listen replica...} or {@code duty who term replica...}. */
+        {@code agent folder listen replica...} or {@code member name zone folder listen address replica...} or
+        {@code duty who term replica...}. */
     public static void main(String[] args) throws Exception {
         mastdrift.registry.Main.logToOutput();
         mastdrift.registry.Main.endOnFaults();
@@ -51,11 +53,21 @@
                 }
             }));
             replica.begin();
+        } else if (args[2].equals("member")) {
+            List<String> replicas = rest.subList(5, rest.size());
+            Agent agent = new Agent(new Agent.Setup(Path.of(rest.get(2)), Http.address(rest.get(3)),
+                    replicas.stream().map(Http::address).toList(), null), hooks, hooks.disk());
+            Membership membership = new Membership(new Membership.Setup(rest.get(0), "agent", rest.get(1), rest.get(4)
+                    + "/v1/agent"), replicas, hooks, detector(args[1], rest.get(0)), !args[1].equals(Variants.INCARNATION_KEPT));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                membership.close();
+                agent.close();
+            }));
         } else if (args[2].equals("duty")) {
             DutyCommands.run("roll", rest.get(0), Long.parseLong(rest.get(1)), rest.subList(2, rest.size()), hooks, end());
         } else {
             Agent agent = new Agent(new Agent.Setup(Path.of(rest.get(0)), Http.address(rest.get(1)),
-                    new ArrayList<>(rest.subList(2, rest.size())).stream().map(Http::address).toList()), hooks, hooks.disk());
+                    rest.subList(2, rest.size()).stream().map(Http::address).toList(), null), hooks, hooks.disk());
             Runtime.getRuntime().addShutdownHook(new Thread(agent::close));
         }
         Thread.currentThread().join();
@@ -145,6 +157,16 @@
         }
     }
 
+    /** Half a second between calls, as in service; the wrong one takes nobody's pauses into account. */
+    private static Detector detector(String variant, String name) {
+        return !variant.equals(Variants.FIXED_TIME_OUT) ? new Detector(name, 500_000) : new Detector(name, 500_000) {
+            @Override
+            protected boolean silent(double phi, long quiet) {
+                return quiet > 1_000_000;
+            }
+        };
+    }
+
     /** Broken on purpose, each in one way that a checker has to find. */
     private static Catalogue variant(String name, Clock clock) {
         return switch (name) {
@@ -174,6 +196,12 @@
                     return super.since(from > 0 && from + 2 < rev() ? from + 2 : from);
                 }
             };
+            case Variants.ONE_REMOVES -> new Catalogue() {
+                @Override
+                protected int mark(int of, int watching) {
+                    return 1;
+                }
+            };
             default -> throw new IllegalArgumentException("no variant " + name);
         };
     }
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/MemberCheck.java
@@ -0,0 +1,73 @@
+package mastdrift.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import mastdrift.rig.History.Event;
+
+/** Views against what was done to their members: nobody goes who was not touched by a fault, and in the end all that run are in the
+    newest view, and no others. */
+final class MemberCheck implements Check {
+
+    /** A member may go for a fault that has ended so long before: the last report may come late. */
+    private static final long AFTER_MICROS = 6_000_000;
+
+    @Override
+    public Verdict look(History history) {
+        List<String> breaches = new ArrayList<>();
+        TreeMap<Long, Set<String>> views = new TreeMap<>();
+        Map<Long, Long> firstSeen = new HashMap<>();
+        for (Event event : history.events("view")) {
+            long number = event.number("number", 0);
+            views.putIfAbsent(number, names(event));
+            firstSeen.merge(number, event.start(), Math::min);
+        }
+        Set<String> before = Set.of();
+        for (Map.Entry<Long, Set<String>> view : views.entrySet()) {
+            for (String name : before) {
+                if (!view.getValue().contains(name) && !excused(history, name, firstSeen.get(view.getKey()))) {
+                    breaches.add(name + " left with view " + view.getKey() + ", and nothing had been done to it");
+                }
+            }
+            before = view.getValue();
+        }
+        for (Event alive : history.events("alive")) {
+            Set<String> running = new TreeSet<>();
+            ((List<?>) alive.facts().get("names")).forEach(name -> running.add(name.toString()));
+            running.removeIf(name -> !name.startsWith("member-"));
+            Set<String> missing = new TreeSet<>(running);
+            missing.removeAll(before);
+            Set<String> ghosts = new TreeSet<>(before);
+            ghosts.removeAll(running);
+            missing.forEach(name -> breaches.add(name + " runs, and is not in the last view"));
+            ghosts.forEach(name -> breaches.add(name + " is in the last view, and does not run"));
+        }
+        return Verdict.of("members", breaches);
+    }
+
+    private static Set<String> names(Event view) {
+        Set<String> names = new HashSet<>();
+        ((List<?>) view.facts().get("members")).forEach(each -> names.add(each.toString().split("#")[0]));
+        return names;
+    }
+
+    private static boolean excused(History history, String name, long at) {
+        return history.events("fault").stream().anyMatch(fault -> fault.start() <= at
+                && (!fault.known() || at <= fault.end() + AFTER_MICROS) && !slow(fault)
+                && (named(fault, "processes", name) || named(fault, "others", name)));
+    }
+
+    /** Who is only slow is to be waited for. */
+    private static boolean slow(Event fault) {
+        return "delay".equals(fault.text("kind"));
+    }
+
+    private static boolean named(Event fault, String side, String name) {
+        return fault.facts().get(side) instanceof List<?> names && names.contains(name);
+    }
+}
--- a/rig/src/main/java/mastdrift/rig/Play.java
+++ b/rig/src/main/java/mastdrift/rig/Play.java
@@ -28,6 +28,8 @@
     }
 
     private static final int READY_SECONDS = 120;
+    private static final int AGREE_MILLIS = 3000;  // after the last fault
+    private static final int LAG_MILLIS = 1500;  // between the first who has a view and the last: they ask twice a second
 
     private Play() { }
 
@@ -63,8 +65,15 @@
             }
             Thread.sleep(Math.max(0, plan.seconds() * 1000L - (History.now() - began) / 1000));
             saboteur.heal();
+            if (plan.members().count() > 0) {
+                long healed = History.now();
+                history.add(healed, healed, "rig", "healed", Map.of("within_ms", AGREE_MILLIS, "lag_ms", LAG_MILLIS));
+            }
             work.stopWriting();
             Thread.sleep(plan.settleSeconds() * 1000L);
+            if (plan.members().count() > 0) {
+                figures.put("members_agree_ms", membersAgree(stage));
+            }
             if (plan.duties().candidates() > 0) {
                 String phase = rollEnds(stage);
                 long now = History.now();
@@ -79,6 +88,7 @@
                 load.await();
             }
             figures.put("rig_cpu_share", share(ownCpu().minus(ownBefore), stage));
+            stage.tellAlive();
             crashed = stage.end();
             stage.collect();
         }
@@ -92,6 +102,15 @@
         return new Outcome(plan.name(), seed, verdicts, figures);
     }
 
+    /** Waits until the view has those that run, for as long as a slow machine may take: how long is a figure. */
+    private static long membersAgree(Stage stage) throws InterruptedException {
+        long from = History.now();
+        for (int looks = 0; looks < 600 && !stage.membersAgree(); looks++) {
+            Thread.sleep(100);
+        }
+        return (History.now() - from) / 1000;
+    }
+
     /** Waits for the roll's end, for as long as a slow machine may take. */
     private static String rollEnds(Stage stage) throws InterruptedException {
         String phase = null;
--- a/rig/src/main/java/mastdrift/rig/Rig.java
+++ b/rig/src/main/java/mastdrift/rig/Rig.java
@@ -29,7 +29,7 @@
 /** The rig's commands. Exit status: 0 all held, 1 something was broken, 2 misuse or a play that could not be played. */
 @Command(name = "rig", mixinStandardHelpOptions = true, version = "0.1.0", synopsisSubcommandLabel = "COMMAND",
         description = "Plays processes of the program under faults, and judges what they did.",
-        subcommands = {Rig.Run.class, Rig.MakeReport.class, Rig.Shrink.class, Rig.MakeCrowd.class, CommandLine.HelpCommand.class})
+        subcommands = {Rig.Run.class, Rig.MakeReport.class, Rig.Shrink.class, Rig.MakeCrowd.class, Rig.MakeTakeover.class, CommandLine.HelpCommand.class})
 public final class Rig implements Runnable {
 
     static final int HELD = 0;
@@ -267,4 +267,41 @@
             return HELD;
         }
     }
+
+    @Command(name = "takeover", mixinStandardHelpOptions = true,
+            description = "Measures how long a duty has no holder after its holder's kill, or clean stop, and what leases take.")
+    static final class MakeTakeover implements Callable<Integer> {
+
+        @Option(names = "--kills", paramLabel = "N", defaultValue = "50", description = "(default: ${DEFAULT-VALUE})")
+        private int kills;
+
+        @Option(names = "--stops", paramLabel = "N", defaultValue = "50", description = "(default: ${DEFAULT-VALUE})")
+        private int stops;
+
+        @Option(names = "--leases", paramLabel = "N", defaultValue = "1000", description = "(default: ${DEFAULT-VALUE})")
+        private int leases;
+
+        @Option(names = "--term-ms", paramLabel = "MILLIS", defaultValue = "3000",
+                description = "of the duty (default: ${DEFAULT-VALUE})")
+        private long term;
+
+        @Option(names = "--out", paramLabel = "DIR", defaultValue = "target/takeover",
+                description = "where logs go (default: ${DEFAULT-VALUE})")
+        private Path out;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            PrintWriter print = spec.commandLine().getOut();
+            try (Takeover takeover = new Takeover(3, term, Path.of("").toAbsolutePath(), out.toAbsolutePath())) {
+                takeover.start();
+                print.println(Json.text(takeover.end(kills, true)));
+                print.println(Json.text(takeover.end(stops, false)));
+                print.println(Json.text(takeover.leases(leases, 10_000, 30)));
+            }
+            return HELD;
+        }
+    }
 }
--- a/rig/src/test/java/mastdrift/rig/ChecksTest.java
+++ b/rig/src/test/java/mastdrift/rig/ChecksTest.java
@@ -233,4 +233,22 @@
         add(9_000_002, 9_000_002, "host-b-1", "fell", "part", 1.0);
         breaks("rules", "host-b-1 pressed down while cold");
     }
+
+    private void view(long at, String by, long number, String... members) {
+        add(at, at, by, "view", "number", number, "members", List.of(members));
+    }
+
+    /** Guards against a removal that nothing explains, against one that is slow and goes, and against ghosts. */
+    @Test
+    void aMemberThatGoesForNothingOrIsMissingIsFound() {
+        view(10, "member-a-1", 1, "member-a-1#5", "member-b-1#5", "member-c-1#5");
+        add(15, 30, "rig", "fault", "kind", "delay", "processes", List.of("member-b-1"), "others", List.of("member-a-1"));
+        view(20, "member-a-1", 2, "member-a-1#5", "member-c-1#5");
+        breaks("members", "member-b-1 left with view 2, and nothing had been done to it");
+        add(15, 30, "rig", "fault", "kind", "freeze", "processes", List.of("member-b-1"));
+        assertTrue(look("members").held(), look("members").toString());
+        add(40, 40, "rig", "alive", "names", List.of("member-a-1", "member-b-1", "registry-1"));
+        breaks("members", "member-b-1 runs, and is not in the last view");
+        breaks("members", "member-c-1 is in the last view, and does not run");
+    }
 }
--- a/rig/src/test/java/mastdrift/rig/PlayTest.java
+++ b/rig/src/test/java/mastdrift/rig/PlayTest.java
@@ -132,6 +132,32 @@
         assertTrue((Integer) outcome.figures().get("served") > 0, outcome.figures().toString());
     }
 
+    /** One is killed and stays away, one is frozen for a moment: only the first leaves, and all others agree on it. */
+    @Test
+    void membersAgreeOnWhoHasGone() throws Exception {
+        Play.Outcome outcome = play("""
+                name = "present"
+                seconds = 4
+                settle_s = 0
+                check = ["members"]
+                [registry]
+                replicas = 1
+                [members]
+                count = 6
+                [[fault]]
+                kind = "kill"
+                process = "member-a-2"
+                back = "never"
+                at_s = 0.5
+                [[fault]]
+                kind = "freeze"
+                process = "member-b-1"
+                at_s = 1
+                for_s = 0.5
+                """, 5, Variants.NONE);
+        assertTrue(outcome.held(), outcome.verdicts().toString());
+    }
+
     @Test
     void aServiceThatGivesARevisionTwiceIsCaught() throws Exception {
         Play.Outcome outcome = play(REGISTRY, 3, Variants.REVISION_REUSED);
