--- a/common/src/main/java/mastdrift/common/Follow.java
+++ b/common/src/main/java/mastdrift/common/Follow.java
@@ -106,10 +106,12 @@
             } else if (part instanceof HttpResponse response && response.status().code() != 200) {
                 over("status " + response.status().code());
             } else if (part instanceof HttpContent content && !ended) {
-                text.discardReadBytes().writeBytes(content.content());
-                for (int length = text.bytesBefore((byte) '\n'); length >= 0 && !ended;
-                        length = text.bytesBefore((byte) '\n')) {
-                    String line = text.readCharSequence(length, StandardCharsets.UTF_8).toString();
+                text.discardReadBytes();
+                int looked = text.writerIndex();  // a long line comes in many parts: each is looked through once
+                text.writeBytes(content.content());
+                for (int at = text.indexOf(looked, text.writerIndex(), (byte) '\n'); at >= 0 && !ended;
+                        at = text.indexOf(text.readerIndex(), text.writerIndex(), (byte) '\n')) {
+                    String line = text.readCharSequence(at - text.readerIndex(), StandardCharsets.UTF_8).toString();
                     text.skipBytes(1);
                     lines.accept(line);
                 }
--- a/common/src/main/java/mastdrift/common/Http.java
+++ b/common/src/main/java/mastdrift/common/Http.java
@@ -224,6 +224,11 @@
             return channel.isWritable();
         }
 
+        /** Bytes that the reader has to take until it keeps up. */
+        public long behind() {
+            return channel.bytesBeforeWritable();
+        }
+
         public void line(String text) {
             channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8)));
         }
--- a/registry/src/main/java/mastdrift/registry/Feed.java
+++ b/registry/src/main/java/mastdrift/registry/Feed.java
@@ -18,7 +18,7 @@
 
     private static final int GATHER_MILLIS = 5;  // changes that come within are one line
     private static final int ALIVE_MILLIS = 2000;  // PROTOCOL: an empty line as long as nothing changes
-    private static final long SLOW_MICROS = 10_000_000;  // who takes nothing for so long is cut
+    private static final long SLOW_MICROS = 10_000_000;  // who takes nothing at all for so long is cut
     private static final int LINES_MOST = 64;  // kept: most readers are equally far behind
 
     /** A line, and the revision that it brings its reader to. */
@@ -28,6 +28,7 @@
         private final Http.Lines lines;
         private long rev;
         private long tookAt;
+        private long behind;
 
         Watcher(Http.Lines lines, long rev) {
             this.lines = lines;
@@ -91,6 +92,7 @@
             Told first = line(from);
             Watcher watcher = new Watcher(lines, first.rev);
             lines.line(first.line);
+            watcher.behind = lines.behind();
             watchers.add(watcher);
             count = watchers.size();
             lines.whenEnded(() -> loop.execute(() -> {
@@ -122,6 +124,7 @@
             if (watcher.rev < now && watcher.lines.writable()) {
                 Told line = line(watcher.rev);
                 watcher.lines.line(line.line);
+                watcher.behind = watcher.lines.behind();
                 watcher.rev = line.rev;
                 watcher.tookAt = clock.monotonic();
                 told++;
@@ -135,6 +138,9 @@
             if (watcher.lines.writable()) {
                 watcher.lines.line("");
                 watcher.tookAt = now;
+            } else if (watcher.lines.behind() < watcher.behind) {
+                watcher.tookAt = now;  // a long line, of which it takes part after part
+                watcher.behind = watcher.lines.behind();
             } else if (now - watcher.tookAt > SLOW_MICROS) {
                 watcher.lines.cut();
                 cut++;
