Have the test's host take no connection once it is closed

Suspected: its thread accepted once more while the socket was being closed; nothing waited for its end. Now close does.

--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -127,11 +127,12 @@
         final List<Socket> accepted = new CopyOnWriteArrayList<>();
         private final ServerSocket socket;
         private final Script script;
+        private final Thread accepting;
 
         Server(Script script) throws IOException {
             this.script = script;
             socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-            run(() -> {
+            accepting = run(() -> {
                 while (true) {
                     Socket connection = socket.accept();
                     accepted.add(connection);
@@ -154,7 +155,7 @@
             void run() throws Exception;
         }
 
-        private static void run(Body body) {
+        private static Thread run(Body body) {
             Thread thread = new Thread(() -> {
                 try {
                     body.run();
@@ -164,6 +165,7 @@
             });
             thread.setDaemon(true);
             thread.start();
+            return thread;
         }
 
         String address() {
@@ -173,6 +175,11 @@
         @Override
         public void close() throws IOException {
             socket.close();
+            try {
+                accepting.join();  // what it accepts last is in the list, and it takes nothing after this
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
             for (Socket connection : accepted) {
                 connection.close();
             }
