--- a/rig/src/main/java/mastdrift/rig/Stage.java
+++ b/rig/src/main/java/mastdrift/rig/Stage.java
@@ -326,23 +326,17 @@
     private void startRegistry() throws IOException, InterruptedException {
         int raft = replicas().isEmpty() ? 0 : Addresses.port(addresses.own(index("registry-1")));
         for (String name : replicas()) {
-            StringBuilder known = new StringBuilder();
+            Path known = hostsFile(name, replicas());  // opens the links for calls, before those for the log below
             List<String> command = new ArrayList<>(List.of(name, folder.resolve(name).resolve("data").toString(), own(name),
                     addresses.own(index(name)) + ":" + raft));
             for (String other : replicas()) {
                 boolean own = other.equals(name);
-                known.append(own || !plan.relay() ? addresses.own(index(other)) : addresses.link(index(name), index(other)))
-                        .append(' ').append(other).append('\n');
                 command.add(other + "=" + other + ":" + raft + "/" + other + ":" + port(other));
                 if (!own && plan.relay()) {
-                    reach(name, other);
                     open(name, other, raft);
                 }
             }
-            Files.createDirectories(folder.resolve(name));
-            Path file = folder.resolve(name).resolve("hosts");
-            Files.writeString(file, known, StandardCharsets.UTF_8);
-            hooked(name, "registry", command, "-Djdk.net.hosts.file=" + file);
+            hooked(name, "registry", command, "-Djdk.net.hosts.file=" + known);
         }
         for (String name : replicas()) {
             await(name + " to take part", () -> said(name, "takes-part"));
