Look at what bounds a send again at the write, where its connection came up late

Cause: Balance.mayRepeat looked at the window when a further attempt was decided; HostPool.dial wrote it whenever its connection came up, with no bound but the drain's grace. Ruled out: the first attempt's time, which is taken before its write, and a group of another zone, which the list does not change. Change: the module is asked at the write (Balancer.mayWrite) for an attempt whose connection has come up after a wait: the request still held, its time not over, the host listed and the same process, the window of every earlier attempt open. What may not be written ends as UNUSED. A connection to where a host was, or to its former process, is not written on either. The gateway's clock is passed in, so that a test can move it.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -262,6 +262,16 @@
         }
     }
 
+    @Override
+    public boolean mayWrite(long now, long id, int number) {
+        Held req = held.get(id);
+        if (req == null || number < 0 || number >= req.attempts.size() || !req.attempts.get(number).out) {
+            return false;
+        }
+        Attempt mine = req.attempts.get(number);
+        return listed(mine.server) && req.ends > now && mayRepeat(now, req, mine.server, mine);
+    }
+
     @Override
     public void departed(long now, long id) {
         if (held.containsKey(id)) {
@@ -835,16 +845,20 @@
     private boolean maySend(long now, Held req, Server server) {
         return listed(server) && req.ends > now && !req.streaming
                 && req.attempts.size() < settings.limits().maxAttempts()
-                && mayRepeat(now, req, server) && coldAllows(now, req, server);
+                && mayRepeat(now, req, server, null) && coldAllows(now, req, server);
     }
 
     private boolean listed(Server server) {
         return server.host.health() == Health.UP && servers.get(server.host.address()) == server;
     }
 
-    /** An attempt that may have run binds what follows: never, or to its group within the window. */
-    private boolean mayRepeat(long now, Held req, Server server) {
+    /** An attempt that may have run binds what follows: never, or to its group within the window. That is
+        the next attempt (null), or one that waits to be written. */
+    private boolean mayRepeat(long now, Held req, Server server, Attempt waiting) {
         for (Attempt attempt : req.attempts) {
+            if (attempt == waiting) {
+                continue;
+            }
             if (attempt.out && !settings.limits().parallelTries() || attempt.server == server) {
                 return false;
             }
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -177,6 +177,13 @@
     void resolved(long now, long id, int attempt, String address, Outcome outcome, long elapsed,
             boolean over, LoadReport report);
 
+    /** Whether an attempt, whose connection has come up only now, may still be written: what bounded it when it was
+        asked for (the client, the deadline, the host's state, the idempotency window) has moved on since. Changes
+        nothing; what is not written is told as UNUSED. */
+    default boolean mayWrite(long now, long id, int attempt) {
+        return true;
+    }
+
     /** The client left; nothing more is owed. */
     void departed(long now, long id);
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import mastdrift.Balancer;
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.LoadReport;
@@ -126,12 +127,15 @@
     private long nextId = 1;
     private int open;
     private int incoming;  // of those that are open: requests of which a rest is to come, not taken before
-    private final long startedAt = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+    private final LongSupplier nanoTime;
+    private final long startedAt;
 
-    /** Starts the module; on the loop's thread. */
-    Gateway(Config config, EventLoop loop, Balancer module, Tally tally, int hostConnections, int openMost,
-            PrintStream out) {
+    /** Starts the module; on the loop's thread. The clock runs in nanoseconds from any origin. */
+    Gateway(Config config, EventLoop loop, LongSupplier nanoTime, Balancer module, Tally tally, int hostConnections,
+            int openMost, PrintStream out) {
         this.loop = loop;
+        this.nanoTime = nanoTime;
+        startedAt = System.currentTimeMillis() * 1000 - nanoTime.getAsLong() / 1000;
         this.tally = tally;
         this.module = module;
         this.out = out;
@@ -151,7 +155,7 @@
 
     /** Microseconds; runs on evenly from the Unix time at the start, in which hosts' starts are told. */
     long now() {
-        return startedAt + System.nanoTime() / 1000;
+        return startedAt + nanoTime.getAsLong() / 1000;
     }
 
     /** What is counted for the log; the clients' side adds its part. */
@@ -165,6 +169,11 @@
                 FIGURES_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Whether all that was taken, and every attempt at it, has ended and nothing is held for it any more. */
+    boolean owesNothing() {
+        return open == 0 && incoming == 0 && ledger.isEmpty() && hosts.busy() == 0;
+    }
+
     private void logTally() {
         String line = tally.line();
         if (!line.isEmpty()) {
@@ -360,6 +369,11 @@
             this.uid = uid;
         }
 
+        @Override
+        public boolean mayWrite() {
+            return !exchange.ended && module.mayWrite(now(), exchange.id, number);
+        }
+
         @Override
         public void relaying() {
             if (!exchange.ended) {
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -66,6 +66,11 @@
 
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
     interface Ended {
+        /** Whether the attempt, whose connection has come up after a wait, may still be written. */
+        default boolean mayWrite() {
+            return true;
+        }
+
         /** The attempt's last byte has been written, which its end may precede. */
         default void written() { }
 
@@ -163,6 +168,11 @@
         return peers.size();
     }
 
+    /** Connections that are coming up, or that an attempt is out on. */
+    int busy() {
+        return connections - peers.values().stream().mapToInt(peer -> peer.idle.size()).sum();
+    }
+
     private void leave(Peer peer) {
         peer.sendUntil = Math.min(peer.sendUntil, clock.getAsLong() + grace);
         closeIdle(peer);
@@ -215,7 +225,7 @@
                 connection.peer = peer;
                 connection.at = at;
                 connection.born = born;
-                connection.write(attempt);
+                connection.writeLate(attempt);
             }
         });
     }
@@ -411,14 +421,24 @@
             this.assembler = assembler;
         }
 
-        private void write(Attempt next) {
-            long now = clock.getAsLong();
-            next.channel = channel;
-            if (now >= peer.sendUntil) {  // it waited for its connection while the host was drained
+        /** What bounded the attempt when it was asked for may have moved on while it waited for this connection. */
+        private void writeLate(Attempt next) {
+            if (clock.getAsLong() < peer.sendUntil && leadsToTheHost() && next.ended.mayWrite()) {
+                write(next);
+            } else {
                 next.end(Outcome.UNUSED, null);
                 channel.close();
-                return;
             }
+        }
+
+        /** Not to where it was before it moved, or to the process that was there before it started anew. */
+        private boolean leadsToTheHost() {
+            return at.equals(peer.at) && born == peer.born;
+        }
+
+        private void write(Attempt next) {
+            long now = clock.getAsLong();
+            next.channel = channel;
             attempt = next;
             next.sending = true;
             next.message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(at))
@@ -567,8 +587,7 @@
                     awaitMore(attempt, STALL);
                     passOnOpenEnded(context, attempt);
                 }
-            } else if (answered && !answers.midway() && peer.sendUntil == Long.MAX_VALUE && at.equals(peer.at)
-                    && born == peer.born) {
+            } else if (answered && !answers.midway() && peer.sendUntil == Long.MAX_VALUE && leadsToTheHost()) {
                 interim = 0;
                 peer.idle.push(this);
             } else {
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import mastdrift.Balance;
@@ -55,7 +56,7 @@
             if (admin != null) {
                 System.out.println("operators may call " + admin);
             }
-            ClientSide clients = start(config, passed, loop, life, tally, System.out);
+            ClientSide clients = start(config, passed, loop, System::nanoTime, life, tally, System.out);
             started.complete(clients.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
         } catch (IllegalArgumentException | CompletionException e) {
@@ -108,13 +109,13 @@
         throw new IllegalArgumentException("descriptor 0 is no listening socket, though NODE_PASSED_SOCKET is set");
     }
 
-    /** Starts a gateway on the loop, on the passed socket where there is one; throws IllegalArgumentException for a
-        configuration it can't run with. */
-    static ClientSide start(Config config, ServerSocketChannel passed, EventLoop loop, Life life, Tally tally,
-            PrintStream out) {
+    /** Starts a gateway on the loop, on the passed socket where there is one; the clock runs in nanoseconds from any
+        origin. Throws IllegalArgumentException for a configuration it can't run with. */
+    static ClientSide start(Config config, ServerSocketChannel passed, EventLoop loop, LongSupplier nanoTime, Life life,
+            Tally tally, PrintStream out) {
         int most = connectionsMost(config.sockets());
         ClientSide clients = CompletableFuture.supplyAsync(() -> {
-            Gateway gateway = new Gateway(config, loop, new Balance(), tally, most, openMost(most), out);
+            Gateway gateway = new Gateway(config, loop, nanoTime, new Balance(), tally, most, openMost(most), out);
             if (config.admin() != null) {
                 gateway.keepFigures();
             }
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -69,7 +69,7 @@
             PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
             Life life = new Life();
             ClientSide clients = CompletableFuture.supplyAsync(() -> new ClientSide(loop, new Gateway(rehearsed, loop,
-                    new Balance(), rehearsed.tally(), HOSTS * 2, HOSTS, silent), config.settings(), HOSTS, life), loop)
+                    System::nanoTime, new Balance(), rehearsed.tally(), HOSTS * 2, HOSTS, silent), config.settings(), HOSTS, life), loop)
                     .join();
             clients.listen(any).sync();
             life.started(() -> { });
