Withdraw attempts that still wait for a connection when their request ends

Cause: Gateway.departed cancelled attempts of long bodies only and left the others to the module, which cancels where the settings allow it; with cancel=false an attempt went on waiting for its connection, up to its whole time, for nobody. With cancel=true the lead of the review is ruled out: the module's cancel closes the connection that is coming up (the test holds there without this change). Change: whatever ends a request withdraws those of its attempts of which nothing has been written. The settings' cancel is about work at hosts, of which there is none. Test: whatAClientLeftBehindIsNotSentOn, by FIN and by reset, cancel on and off; without the change both with cancel off fail. Every exchange, attempt and host connection is asserted to be back at zero (Gateway.owesNothing).

--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -291,6 +291,7 @@
         if (exchange.rest != null) {
             exchange.rest.abandon();
         }
+        exchange.attempts.forEach(HostPool.Attempt::withdraw);  // one that still waits for its connection is for nobody
         forget(exchange);
     }
 
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -332,6 +332,13 @@
             stop(Outcome.REVOKED);
         }
 
+        /** Cancels it unless it has begun to be written. */
+        void withdraw() {
+            if (!sending) {
+                cancel();
+            }
+        }
+
         private void expire() {
             stop(sending ? Outcome.EXPIRED : Outcome.DIAL_FAILED);
         }
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -7,6 +7,7 @@
 import static mastdrift.net.Loopback.environment;
 import static mastdrift.net.Loopback.list;
 import static mastdrift.net.Loopback.post;
+import static mastdrift.net.Loopback.read;
 import static mastdrift.net.Loopback.tell;
 import static mastdrift.net.Loopback.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -23,6 +24,8 @@
 import mastdrift.net.Loopback.Server;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What is owed in the instant in which a process, a connection, an attempt, a list or a client ends. */
 class EndingsTest {
@@ -82,6 +85,28 @@
         }
     }
 
+    /** Guards against work for nobody: a request whose client has left while its first connection was coming up is not
+        written on it, whether or not the settings let attempts be called off. */
+    @ParameterizedTest
+    @CsvSource({"true, false", "true, true", "false, false", "false, true"})
+    void whatAClientLeftBehindIsNotSentOn(boolean cancel, boolean reset) throws Exception {
+        String settings = SETTINGS.replace("\"cancel\":true", "\"cancel\":" + cancel)
+                .replace("\"dial_timeout\":20000000", "\"dial_timeout\":600000000");
+        try (Server discovery = discovery(); LateHost late = new LateHost();
+                Node node = node(discovery, settings, up("s1", late.address()))) {
+            Socket client = node.connect();
+            write(client, read(60_000));
+            until(() -> counted(node, Tally.Count.HOST_DIALS) == 1);
+            if (reset) {
+                client.setSoLinger(true, 0);
+            }
+            client.close();
+            until(() -> counted(node, Tally.Count.DEPARTED) == 1);
+            assertNothingIsOwed(node);  // the connection is not waited for either
+            assertEquals(0, counted(node, Tally.Count.ATTEMPTS_WRITTEN));
+        }
+    }
+
     private static long counted(Node node, Tally.Count count) {
         return node.clients.gateway().tally().sum(count);
     }
