Bind an answer that is passed on to its deadline until it is known to be long

Cause: an answer whose length is not told is passed on from 50 ms on (HostPool.passOnOpenEnded), however short it is; from then on Gateway.begun has no backstop and HostPool waited RELAY_STALL, 5 s, for each piece. Ruled out: answers that are held whole (250 ms a piece, and the attempt's own time) and requests in pieces (the host's time runs from their last byte). Change: until an answer is known to be long, by the length told or by what has come, its request's deadline holds to the last byte; behind it, it may go on only while it comes, 250 ms a piece. A break is made visible to clients of HTTP/1.0 too, by a reset: an orderly close would pass for the end. Tests: three in EndingsTest; the one on the hang and the one on the reset fail without the change, the third guards long answers against a bound that is too strict.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -535,6 +535,9 @@
             rest.writeTo(channel, whole -> {
                 going = null;
                 passed.accept(whole);
+                if (!whole && !told && !chunks) {  // an orderly close would pass for the answer's end
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                }
                 answered(keep && whole);
             });
         }
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -55,7 +55,7 @@
     // Of an answer that is held whole, the next piece comes at once but for a lost packet, which is sent again after
     // 200 ms: one that stalls for longer won't end.
     private static final long STALL = 250_000;
-    // One that is being relayed may be read and written slowly, and can't be had from another host any more.
+    // A long one that is being relayed may be read and written slowly, and can't be had from another host any more.
     private static final long RELAY_STALL = 5_000_000;
     // An answer whose length is not told, and that comes for longer, may be a long one, of which the first bytes count.
     private static final long OPEN_ENDED_HELD = 50_000;
@@ -418,6 +418,7 @@
         private long born;
         private Attempt attempt;
         private boolean answered;
+        private boolean knownLong;  // that answer, by the length that it tells
         private boolean keepAlive;
         private int interim;
         private long idleSince;
@@ -542,15 +543,16 @@
             }
             mine.stopTimers();
             relay = rest;
+            knownLong = HttpUtil.isContentLengthSet(answer);
             keepAlive = HttpUtil.isKeepAlive(answer);
             rest.onPace(() -> {
                 channel.config().setAutoRead(!rest.full());
                 if (!rest.full() && !mine.over) {
-                    awaitMore(mine, RELAY_STALL);  // the host's turn again, for as long as at first
+                    awaitMore(mine);  // the host's turn again, for as long as at first
                 }
             });
             mine.ended.begun(answer, rest);
-            awaitMore(mine, RELAY_STALL);
+            awaitMore(mine);
         }
 
         /** Ends the attempt once its answer has been read to the end, and otherwise sees to it that this comes. */
@@ -565,21 +567,31 @@
                 idleSince = clock.getAsLong();
                 mine.end(whole ? Outcome.DELIVERED : Outcome.DROPPED, null);
             } else {
-                awaitMore(mine, RELAY_STALL);
+                awaitMore(mine);
             }
         }
 
-        private void awaitMore(Attempt mine, long most) {
+        private void awaitMore(Attempt mine) {
             if (mine.stall != null) {
                 mine.stall.cancel(false);
             }
             mine.stall = loop.schedule(() -> {
                 if (relay != null && relay.full()) {  // the client's turn, not the host's
-                    awaitMore(mine, most);
+                    awaitMore(mine);
                 } else {
                     mine.stop(Outcome.DROPPED);
                 }
-            }, most, TimeUnit.MICROSECONDS);
+            }, patience(mine), TimeUnit.MICROSECONDS);
+        }
+
+        /** How long the next piece of an answer may take, in microseconds. One that is passed on is bound by its request's
+            deadline up to the last byte until it is known to be long: behind that, it may go on only while it comes. */
+        private long patience(Attempt mine) {
+            if (relay == null) {
+                return STALL;
+            }
+            boolean isLong = knownLong || assembler.bytes() > Assembler.HELD_MOST;
+            return isLong ? RELAY_STALL : Math.max(STALL, mine.ends - clock.getAsLong());
         }
 
         /** All that came has been read: a connection is good for the next request if nothing came but the answer. What
@@ -591,7 +603,7 @@
             }
             if (attempt != null) {
                 if (relay == null && answers.midway()) {
-                    awaitMore(attempt, STALL);
+                    awaitMore(attempt);
                     passOnOpenEnded(context, attempt);
                 }
             } else if (answered && !answers.midway() && peer.sendUntil == Long.MAX_VALUE && leadsToTheHost()) {
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -11,11 +11,17 @@
 import static mastdrift.net.Loopback.tell;
 import static mastdrift.net.Loopback.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import mastdrift.net.Loopback.LateHost;
@@ -107,6 +113,86 @@
         }
     }
 
+    /** Reads up to a text that the peer is known to send. */
+    private static void readTo(Socket socket, String text) throws IOException {
+        StringBuilder got = new StringBuilder();
+        while (got.indexOf(text) < 0) {
+            int next = socket.getInputStream().read();
+            assertTrue(next >= 0, got.toString());
+            got.append((char) next);
+        }
+    }
+
+    /** Whether nothing is owed any more so much later; measured where what ends it is scheduled, so that a slow machine
+        can't turn the order round. */
+    private static boolean owesNothingAfter(Node node, int millis) throws Exception {
+        return node.loop.schedule(() -> node.clients.gateway().owesNothing(), millis, TimeUnit.MILLISECONDS).get();
+    }
+
+    /** Guards against an answer that ends long after its time, or never: its first pieces were passed on since its length
+        is not told, and then the host hangs. The client can tell that it is no whole. */
+    @Test
+    void anAnswerThatHangsOnItsWayEndsWithItsDeadline() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        BlockingQueue<String> hangs = new LinkedBlockingQueue<>();
+        try (Server discovery = discovery(); Server host = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (!seen.await(20, TimeUnit.MILLISECONDS)) {
+                write(message.socket(), "1\r\nx\r\n");
+            }
+            hangs.add("now");
+        }); Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, read(1_500));
+            readTo(client, "x");
+            seen.countDown();
+            await(hangs);
+            assertTrue(owesNothingAfter(node, 2_500));
+            byte[] rest = client.getInputStream().readAllBytes();
+            assertFalse(new String(rest, StandardCharsets.ISO_8859_1).endsWith("\r\n0\r\n\r\n"));
+        }
+    }
+
+    /** Guards against an end that cuts off what the host still gives: of a long answer the first bytes are timed. */
+    @Test
+    void aLongAnswerMayGoOnBehindItsDeadline() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        try (Server discovery = discovery(); Server host = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n"
+                    + "x".repeat(0x20000) + "\r\n");
+            seen.await();
+            write(message.socket(), "1\r\ny\r\n0\r\n\r\n");
+        }); Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, read(20_000));
+            readTo(client, "x".repeat(1_000));
+            node.jump(20_000);
+            assertFalse(owesNothingAfter(node, 1_000));
+            seen.countDown();
+            readTo(client, "y\r\n0\r\n\r\n");
+            assertNothingIsOwed(node);
+        }
+    }
+
+    /** Guards against a part that passes for the whole, at a client of HTTP/1.0, to which only the end tells the length. */
+    @Test
+    void anAnswerThatBreaksIsResetWhereItsEndWouldBeItsLength() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        try (Server discovery = discovery(); Server host = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n"
+                    + "x".repeat(0x20000) + "\r\n");
+            seen.await();
+            message.socket().close();
+        }); Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, read(20_000).replace("HTTP/1.1", "HTTP/1.0"));
+            readTo(client, "x".repeat(0x20000));
+            seen.countDown();
+            assertThrows(IOException.class, () -> client.getInputStream().read());
+            assertNothingIsOwed(node);
+        }
+    }
+
     private static long counted(Node node, Tally.Count count) {
         return node.clients.gateway().tally().sum(count);
     }
