End clients' connections by a lingering close, and answer what was read behind the last request

Cause: a connection that had its last answer, rested too long, made room or was shut at a stop was closed at once (ClientSide.answered, closeIdle, makeRoom, closeOverdue). Where bytes of the client were unread by then the system resets the connection, and the client may lose the answer before it; only a body that was still coming was waited for. Requests that had been read behind the one that is out were dropped with the last answer at a stop, though taken. Ruled out: what is read behind the shutdown was never sent on; a part of a request is owed nothing and is closed as before. Change: one way to end a connection in order, ClientSide.Connection.end: half-close behind what was written, then read and drop for 2 s at the most, or until the client closes. Ended connections make room first. At a stop an answer is the last on its connection only where nothing that was read waits behind it. An answer that breaks on its way still closes at once. Tests: aLastAnswerIsFollowedByAnOrderlyEndThoughTheClientStillSends (broken pipe without the change), aStopAnswersWhatWasReadBehindTheRequestThatIsOut (no second request comes without it), and whatComesOnAConnectionThatWasShutIsNotTaken, which holds without it too.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -7,12 +7,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.TooLongFrameException;
@@ -32,6 +34,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.TimeoutException;
 import io.netty.handler.timeout.WriteTimeoutHandler;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -69,7 +72,7 @@
     private static final long STOP_SERVING_MOST = 1_500_000;
     private static final long STOP_ANSWERED = 400_000;
     private static final long DEADLINE_COUNTED = 3_000_000;  // a longer one puts off the kill no further
-    // After an answer that came before its request was whole, the rest is read and dropped for so long.
+    // What comes on a connection that is ended in order is read and dropped for so long, unless its client closes before.
     private static final long LINGER_MILLIS = 2000;
     /** Hundreds of connections may each hold a read and a write of this size. */
     static final WriteBufferWaterMark WRITE_SIZES = new WriteBufferWaterMark(16 << 10, 32 << 10);
@@ -95,6 +98,7 @@
     private final Set<Connection> connections = new HashSet<>();
     private final LinkedHashSet<Connection> silent = new LinkedHashSet<>();  // never asked yet, the eldest first
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();  // the longest idle first
+    private final LinkedHashSet<Connection> lingering = new LinkedHashSet<>();  // shut for writing, the eldest first
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
     private boolean accepting = true;
@@ -220,7 +224,7 @@
     /** Not those that are sending a request: it is answered, and then they close. */
     private void closeIdle() {
         Stream.concat(silent.stream(), idle.stream()).filter(connection -> !connection.arrival.begun()).toList()
-                .forEach(connection -> connection.channel.close());
+                .forEach(connection -> connection.end());
     }
 
     private void closeOverdue() {
@@ -228,13 +232,20 @@
         List.copyOf(connections).forEach(connection -> connection.closeOverdue(now));
     }
 
-    /** Those that never asked go first: silent floods must not push out clients that come back. */
+    /** What has been ended already goes first, then those that never asked: silent floods must not push out clients that
+        come back. One that is pushed out leaves its place to the next newcomer, having been ended in order. */
     private boolean makeRoom(Connection newcomer) {
+        if (!lingering.isEmpty()) {
+            lingering.iterator().next().channel.close();
+        }
+        if (connections.size() <= most) {
+            return true;
+        }
         Connection first = Stream.concat(silent.stream(), idle.stream()).filter(c -> c != newcomer).findFirst()
                 .orElse(null);
         if (first != null) {
             gateway.tally().add(Tally.Count.CLIENTS_PUSHED_OUT);
-            first.channel.close();
+            first.end();
         }
         return first != null;
     }
@@ -270,7 +281,7 @@
         private Gateway.Exchange exchange;
         private String id;
         private boolean read;
-        private boolean lingering;  // answered, and closes with the end of what is coming
+        private boolean over;  // shut for writing: nothing is taken any more
         private long idleSince = gateway.now();
 
         Connection(Channel channel, Assembler assembler) {
@@ -280,7 +291,7 @@
 
         /** Reading pauses while there is enough. */
         private void pace() {
-            boolean reads = waiting.size() <= PIPELINED_MOST && (coming == null || !coming.full());
+            boolean reads = over || waiting.size() <= PIPELINED_MOST && (coming == null || !coming.full());
             if (arrival.pause(!reads, gateway.now())) {
                 channel.config().setAutoRead(reads);
             }
@@ -301,16 +312,44 @@
         /** Without a word: a 408 might cross a request, and be taken for its answer. */
         private void closeOverdue(long now) {
             boolean asked = !silent.contains(this);
-            boolean over;
-            if (arrival.begun()) {
-                over = (current == null || coming != null) && arrival.overdue(now, asked ? 0 : idleSince, assembler.bytes());
-            } else {
-                long idleMost = drained ? DRAINED_IDLE_MOST : asked ? IDLE_MOST : Arrival.HEAD_IN;
-                over = current == null && now - idleSince > idleMost;
-            }
+            long idleMost = drained ? DRAINED_IDLE_MOST : asked ? IDLE_MOST : Arrival.HEAD_IN;
             if (over) {
-                channel.close();
+                return;  // it closes by itself
+            }
+            if (!arrival.begun() && current == null && now - idleSince > idleMost) {
+                end();
+            } else if (arrival.begun() && (current == null || coming != null)
+                    && arrival.overdue(now, asked ? 0 : idleSince, assembler.bytes())) {
+                channel.close();  // a part of a request is owed nothing
+            }
+        }
+
+        /** Ends the connection in order, by a lingering close: a half-close behind all that has been written, and what the
+            client still sends is read and dropped for a while. A close over unread bytes would be a reset, by which the
+            client may lose the answer before it. What is read from now on is not taken: the client hears that it ended. */
+        private void end() {
+            if (over || !channel.isActive()) {
+                return;
             }
+            over = true;
+            silent.remove(this);
+            idle.remove(this);
+            lingering.add(this);
+            drop();
+            channel.pipeline().addFirst(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext context, Object bytes) {
+                    ReferenceCountUtil.release(bytes);
+                }
+            });
+            ((DuplexChannel) channel).shutdownOutput();
+            pace();
+            loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void drop() {
+            waiting.forEach(Arrived::drop);
+            waiting.clear();
         }
 
         @Override
@@ -318,12 +357,12 @@
             connections.remove(this);
             silent.remove(this);
             idle.remove(this);
+            lingering.remove(this);
             open.remove(id);
             if (connections.size() <= most && accepting) {
                 server.config().setAutoRead(true);
             }
-            waiting.forEach(Arrived::drop);
-            waiting.clear();
+            drop();
             if (exchange != null) {
                 exchange.departed();
             }
@@ -338,6 +377,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Assembler.Part part) {
+            if (over) {  // read together with what it was ended on
+                new Arrived((FullHttpRequest) part.message(), part.rest(), 0).drop();
+                return;
+            }
             read = true;
             silent.remove(this);
             coming = part.rest();
@@ -363,10 +406,10 @@
                 boolean whole = coming.whole();
                 coming = null;
                 arrival.end();
-                if (!whole || lingering) {
+                if (!whole) {
                     channel.close();
                 }
-            } else if (!read) {
+            } else if (!read && !over) {
                 arrival.begin(gateway.now());
             }
             read = false;
@@ -399,6 +442,10 @@
         private void next() {
             Arrived arrived = waiting.poll();
             pace();
+            if (arrived == null && stopped != null) {
+                end();
+                return;
+            }
             if (arrived == null) {
                 idle.add(this);
                 idleSince = gateway.now();
@@ -535,10 +582,14 @@
             rest.writeTo(channel, whole -> {
                 going = null;
                 passed.accept(whole);
-                if (!whole && !told && !chunks) {  // an orderly close would pass for the answer's end
+                if (whole) {
+                    answered(keep);
+                    return;
+                }
+                if (!told && !chunks) {  // an orderly close would pass for the answer's end
                     channel.config().setOption(ChannelOption.SO_LINGER, 0);
                 }
-                answered(keep && whole);
+                channel.close();
             });
         }
 
@@ -564,7 +615,7 @@
         }
 
         private boolean keeps() {
-            return !closing && HttpUtil.isKeepAlive(current) && (currentRest == null || currentRest.whole());
+            return (!closing || !waiting.isEmpty()) && HttpUtil.isKeepAlive(current) && (currentRest == null || currentRest.whole());
         }
 
         private void write(FullHttpResponse response, boolean close) {
@@ -579,8 +630,7 @@
             channel.writeAndFlush(response).addListener(done -> answered(keep && done.isSuccess()));
         }
 
-        /** The answer is out. Of a request that isn't whole by then the rest is read and dropped for a moment: a close with
-            bytes unread would be a reset, by which the client may lose the answer. */
+        /** The answer is out, be its request whole by then or not. */
         private void answered(boolean keep) {
             exchange = null;
             open.remove(id);
@@ -588,17 +638,12 @@
             if (currentRest != null) {
                 currentRest.abandon();  // it has been written, or nobody takes it
             }
-            if (!keep && currentRest != null && currentRest == coming && !coming.over() && channel.isActive()) {
-                lingering = true;
-                loop.schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
-                return;
-            }
             current = null;
             currentRest = null;
             if (keep) {
                 next();
             } else {
-                channel.close();
+                end();
             }
         }
 
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -1,6 +1,7 @@
 package mastdrift.net;
 
 import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.answer;
 import static mastdrift.net.Loopback.await;
 import static mastdrift.net.Loopback.discovery;
 import static mastdrift.net.Loopback.entry;
@@ -193,6 +194,73 @@
         }
     }
 
+    /** Guards against a close over unread bytes, which resets the connection and may destroy the answer before it: the
+        client goes on sending behind the request that is the last on its connection. */
+    @Test
+    void aLastAnswerIsFollowedByAnOrderlyEndThoughTheClientStillSends() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, read(20_000).replace("Host: s", "Host: s\r\nConnection: close"));
+            Message taken = await(host.received);
+            for (int i = 0; i < 200; i++) {  // more than are read ahead
+                write(client, read(20_000).replace("9b1f", "more" + i));
+            }
+            write(taken.socket(), answer("200 OK", "last"));
+            assertEquals("last", Loopback.read(client).text());
+            assertEquals(-1, client.getInputStream().read());
+            for (int i = 0; i < 20; i++) {  // a reset would come back, and be told by the next write
+                write(client, "more");
+                Thread.sleep(5);
+            }
+            assertNothingIsOwed(node);
+            assertEquals(1, counted(node, Tally.Count.TAKEN));
+        }
+    }
+
+    /** Guards against a request that is read behind the shutdown and sent on: its client has heard that it ended. */
+    @Test
+    void whatComesOnAConnectionThatWasShutIsNotTaken() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        try (Server discovery = discovery(); Server host = Loopback.host("one");
+                Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket resting = node.connect();
+            write(resting, read(20_000));
+            assertEquals("one", Loopback.read(resting).text());
+            node.loop.execute(() -> node.clients.stop(stopped::countDown));
+            assertEquals(-1, resting.getInputStream().read());
+            write(resting, read(20_000));
+            assertTrue(stopped.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+            assertNothingIsOwed(node);
+            assertEquals(1, counted(node, Tally.Count.TAKEN));
+            assertEquals(1, host.received.size());
+        }
+    }
+
+    /** Guards against requests that were read and are dropped with the connection whose last answer goes out. */
+    @Test
+    void aStopAnswersWhatWasReadBehindTheRequestThatIsOut() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, read(20_000) + read(20_000).replace("9b1f", "9b20"));
+            Message first = await(host.received);
+            Socket resting = node.connect();
+            write(resting, "GET /ready HTTP/1.1\r\n\r\n");
+            assertEquals(200, Loopback.read(resting).status());
+            node.loop.execute(() -> node.clients.stop(stopped::countDown));
+            assertEquals(-1, resting.getInputStream().read());  // nothing more is taken
+            write(first.socket(), answer("200 OK", "first"));
+            assertEquals("first", Loopback.read(client).text());
+            write(await(host.received).socket(), answer("200 OK", "second"));
+            assertEquals("second", Loopback.read(client).text());
+            assertEquals(-1, client.getInputStream().read());
+            assertTrue(stopped.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+            assertNothingIsOwed(node);
+        }
+    }
+
     private static long counted(Node node, Tally.Count count) {
         return node.clients.gateway().tally().sum(count);
     }
