Bind requests that are open at SIGTERM by the end of the process, and hear the signal before listening

Cause: ClientSide.stop bound by answerBy only what it took afterwards. A request that was open at the signal kept its own time, which with deadlines beyond 3 s ends after the kill, and Main halted after 4 s with requests unanswered. What was being passed on in pieces was cut off by that halt too. The hook for the signal was set after the listening socket: a SIGTERM between the two ended the process with what it had taken. Ruled out by reading: with deadlines up to 3 s all is answered 0.3 s before the kill, whatever its order; a second SIGTERM and SIGHUP during the stop change nothing. Change: the gateway owns the time by which all is answered and moves the backstops of what is open up to it. The halt waits for what is passed on, 30 s at the most. The signal is heard before the first client can come. Test: aStopAnswersWhatIsOpenBeforeTheKill; without the change its request is open at the time of the kill.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -106,7 +106,6 @@
     private boolean closing;  // each answer is the last on its connection
     private boolean drained;  // nobody should be here any more
     private Future<?> drain;
-    private long answerBy = Long.MAX_VALUE;
     private Runnable stopped;
 
     /** Holds about {@code most} connections. */
@@ -187,11 +186,15 @@
     /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. */
     void stop(Runnable then) {
         life.stop();
+        if (server == null) {  // so early that nobody can have come
+            then.run();
+            return;
+        }
         if (drain != null) {
             drain.cancel(false);
         }
         long longest = classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
-        answerBy = gateway.now() + stopAnswered(longest);
+        gateway.answerBy(gateway.now() + stopAnswered(longest));
         if (shared) {
             // Whoever comes next is the successor's. Not closed: the virtual machine would lead the log to nowhere.
             closing = true;
@@ -513,7 +516,7 @@
                 plain(HttpResponseStatus.CONFLICT, false);  // whose answer would it be?
             } else {
                 id = trace;
-                long left = Math.min(Math.min(expires * 1000, type.deadline()) - waited, answerBy - gateway.now());
+                long left = Math.min(expires * 1000, type.deadline()) - waited;
                 long work = Math.max(0, number(headers.get("X-Size-Hint")));
                 Gateway.Exchange taken = gateway.take(this, message, currentRest, type.name(), tenant, key(headers.get("X-Object")), left,
                         "1".equals(headers.get("X-Second-Try")), work);
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -71,6 +71,7 @@
         private final long kept;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(2);
         private Future<?> backstop;
+        private long due;  // on the gateway's clock
         private boolean coming;  // the rest
         private boolean relaying;  // the message has gone out and is not kept
         private boolean begun;  // the answer
@@ -88,7 +89,22 @@
         }
 
         private void startBackstop() {
-            backstop = loop.schedule(() -> overdue(this), kept + BACKSTOP, TimeUnit.MICROSECONDS);
+            due = now() + kept;
+            scheduleBackstop();
+        }
+
+        private void scheduleBackstop() {
+            long left = Math.min(due, answerBy - MARGIN) - now();
+            backstop = loop.schedule(() -> overdue(this), left + BACKSTOP, TimeUnit.MICROSECONDS);
+        }
+
+        /** The gateway's own end has come closer. Not where the backstop is off: in the midst of a body the time is that of
+            who sends it. */
+        private void boundBackstop() {
+            if (!backstop.isDone()) {
+                backstop.cancel(false);
+                scheduleBackstop();
+            }
         }
 
         /** All of it is there and its time counts, or its end makes that of no matter. */
@@ -125,6 +141,7 @@
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean inEvent;
     private long nextId = 1;
+    private long answerBy = Long.MAX_VALUE;
     private int open;
     private int incoming;  // of those that are open: requests of which a rest is to come, not taken before
     private final LongSupplier nanoTime;
@@ -181,6 +198,13 @@
         }
     }
 
+    /** All requests, those that are open and those that come, are answered by then, on the gateway's clock: the process is
+        about to end. What is being passed on in pieces may last longer. */
+    void answerBy(long at) {
+        answerBy = at;
+        ledger.values().stream().filter(exchange -> !exchange.ended).forEach(Exchange::boundBackstop);
+    }
+
     /** A successor takes over what comes from now on. */
     void retire() {
         hosts.retire();
@@ -248,7 +272,7 @@
             client.refused(settings.limits().maxRetryAfter());
             return null;
         }
-        long kept = left - MARGIN;
+        long kept = Math.min(left, answerBy - now()) - MARGIN;
         if (kept <= 0) {
             tally.add(Tally.Count.OVERDUE);
             tally.add(className, Tally.Ended.FAILED);
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -23,7 +23,8 @@
 
     // Of the descriptors: for the program's own files (some 20), discovery, and connections that come and go.
     private static final int RESERVED = 48;
-    private static final int STOP_SECONDS = 4;
+    // Requests are answered long before; what is being passed on in pieces may last, and is owed its rest while it comes.
+    private static final int STOP_SECONDS = 30;
     private static final String REHEARSE = "rehearse";
 
     // Kept, since a logger that nobody holds forgets its level.
@@ -56,13 +57,15 @@
             if (admin != null) {
                 System.out.println("operators may call " + admin);
             }
-            ClientSide clients = start(config, passed, loop, System::nanoTime, life, tally, System.out);
+            ClientSide clients = prepare(config, loop, System::nanoTime, life, tally, System.out);
             started.complete(clients.gateway());
+            // Before the first request can come: from then on an end without this would lose what was taken.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
+            listen(clients, config, passed, loop, life, System.out);
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
             System.err.println("can't start: " + cause.getMessage());
-            System.exit(2);
+            Runtime.getRuntime().halt(2);  // there is nothing to finish
         }
     }
 
@@ -109,18 +112,23 @@
         throw new IllegalArgumentException("descriptor 0 is no listening socket, though NODE_PASSED_SOCKET is set");
     }
 
-    /** Starts a gateway on the loop, on the passed socket where there is one; the clock runs in nanoseconds from any
-        origin. Throws IllegalArgumentException for a configuration it can't run with. */
-    static ClientSide start(Config config, ServerSocketChannel passed, EventLoop loop, LongSupplier nanoTime, Life life,
-            Tally tally, PrintStream out) {
+    /** Starts a gateway on the loop that nobody reaches yet; the clock runs in nanoseconds from any origin. Throws
+        IllegalArgumentException for settings it can't run with. */
+    static ClientSide prepare(Config config, EventLoop loop, LongSupplier nanoTime, Life life, Tally tally,
+            PrintStream out) {
         int most = connectionsMost(config.sockets());
-        ClientSide clients = CompletableFuture.supplyAsync(() -> {
+        return CompletableFuture.supplyAsync(() -> {
             Gateway gateway = new Gateway(config, loop, nanoTime, new Balance(), tally, most, openMost(most), out);
             if (config.admin() != null) {
                 gateway.keepFigures();
             }
             return new ClientSide(loop, gateway, config.settings(), most, life);
         }, loop).join();
+    }
+
+    /** Lets clients come, on the passed socket where there is one; throws IllegalArgumentException where that can't be. */
+    static void listen(ClientSide clients, Config config, ServerSocketChannel passed, EventLoop loop, Life life,
+            PrintStream out) {
         ChannelFuture listening = (passed == null ? clients.listen(config.listen()) : clients.accept(passed))
                 .awaitUninterruptibly();
         if (!listening.isSuccess()) {
@@ -129,7 +137,6 @@
         }
         out.println("listening on " + clients.address());
         life.started(() -> loop.execute(clients::drainOrNot));
-        return clients;
     }
 
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -261,6 +261,24 @@
         }
     }
 
+    /** Guards against a request that is open at the stop and that the process's own end, or the kill, finds unanswered:
+        it was bound by its own time alone, which may be longer than there is left. */
+    @Test
+    void aStopAnswersWhatIsOpenBeforeTheKill() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, read(60_000));
+            await(host.received);
+            node.loop.execute(() -> node.clients.stop(stopped::countDown));
+            assertTrue(owesNothingAfter(node, (int) (ClientSide.stopAnswered(60_000_000) / 1000)));
+            assertEquals(504, Loopback.read(client).status());
+            assertEquals(-1, client.getInputStream().read());
+            assertTrue(stopped.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
     private static long counted(Node node, Tally.Count count) {
         return node.clients.gateway().tally().sum(count);
     }
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -307,7 +307,9 @@
             Config config = Config.read(environment);
             Tally tally = config.tally();
             admin = config.admin() == null ? null : Admin.open(config.admin(), adminLoop, life, tally);
-            clients = Main.start(config, passed, loop, () -> System.nanoTime() + ahead.get(), life, tally, new PrintStream(log, true, StandardCharsets.UTF_8));
+            PrintStream out = new PrintStream(log, true, StandardCharsets.UTF_8);
+            clients = Main.prepare(config, loop, () -> System.nanoTime() + ahead.get(), life, tally, out);
+            Main.listen(clients, config, passed, loop, life, out);
         }
 
         /** Has the gateway's clock jump; what it has scheduled already comes when it would have come. */
