Open a watch that broke anew within 0.25 s, or an eighth of the asking span, not at the next refresh

Cause: the module doubled its pause already before the first new call (Balance.hosts) and looked at the time for it only at its refreshes, each half a second. Where lists are asked for that gave up to 2.9 s behind 3 s of silence, where they are pushed up to 0.9 s: with the call itself over the 6 s after which what a silent watch missed counts as told. Change: the pause after the first failure is the undoubled one and has a timer of its own; later ones grow as before, so that a service that turns callers away is called no more often than once a second or two. Test: aWatchThatBrokeIsOpenedAnewSoon, pushed and asked for, 20 gateways that must not call in step; both fail without it. Left: a call that is refused at once four times in a row pauses up to 2 s, within which discovery may return.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -77,6 +77,7 @@
     private static final double UNEVEN = 8;             // kinds differ by no more than this
     private static final int LOG_EVERY = 10;            // refreshes to a line on what was turned away
     private static final String TIMER = "refresh";
+    private static final String ASK = "ask";
 
     /** A tenant's share at this gateway. Only what is admitted draws on it: clients whose requests are
         refused try again, and their tries must not make a quiet tenant look greedy. */
@@ -284,12 +285,12 @@
         if (handle.equals(TIMER)) {
             actions.timer(now + REFRESH, TIMER);  // first: a fault in what follows must not end the refreshes
             refresh(now);
-            if (now >= askAt) {
-                askAt = Long.MAX_VALUE;
-                actions.watch(true);
-            }
             probeSome();
         }
+        if (now >= askAt) {
+            askAt = Long.MAX_VALUE;
+            actions.watch(true);
+        }
     }
 
     @Override
@@ -1017,8 +1018,9 @@
             // Bounded before it is shifted: after 63 failures the span would be negative and the asking end.
             // Where the registry pushes, a watch has no span of its own: the refreshes' is as good.
             long least = settings.rules().mustAskIn() > 0 ? settings.rules().mustAskIn() / 8 : REFRESH / 2;
-            long backoff = least * (1L << Math.min(3, askFailures));
+            long backoff = least * (1L << Math.min(3, askFailures - 1));  // a watch that broke is opened soon
             askAt = now + backoff / 2 + random.nextLong(backoff / 2 + 1);
+            actions.timer(askAt, ASK);
             return;
         }
         askFailures = 0;
--- a/src/test/java/mastdrift/EdgeTest.java
+++ b/src/test/java/mastdrift/EdgeTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Late, repeated and odd events; settings at their edges. */
 class EdgeTest {
@@ -120,6 +122,31 @@
         assertTrue(firsts.size() >= 15, "moments of the third call " + firsts);
     }
 
+    /** Guards against a broken watch that is opened anew so late that what it missed counts as told before: 3 s of silence
+        and the pause have to leave room in the 6 s for the call itself, and a refresh must not come on top. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 10_000_000})
+    void aWatchThatBrokeIsOpenedAnewSoon(long mustAskIn) {
+        Set<Long> pauses = new HashSet<>();
+        for (int g = 0; g < 20; g++) {
+            Gateway gateway = new Gateway();
+            gateway.seed = g;
+            gateway.mustAskIn = mustAskIn;
+            gateway.start(2);
+            gateway.advance(5_000_000);
+            int before = gateway.watches;
+            long brokeAt = gateway.now;
+            gateway.module.hosts(gateway.now, ListForm.FAILED, List.of());
+            while (gateway.watches == before) {
+                gateway.advance(1_000);
+            }
+            pauses.add(gateway.now - brokeAt);
+        }
+        long most = mustAskIn == 0 ? 250_000 : 1_250_000;
+        assertTrue(pauses.stream().allMatch(pause -> pause <= most + 2_000), "pauses " + pauses);
+        assertTrue(pauses.size() >= 12, "gateways call in step: " + pauses);
+    }
+
     @Test
     void impossibleSettingsAreNamed() {
         Gateway gateway = new Gateway();
