Learn lists of a watch that come indented, and notice one that breaks off

Change: a list ends with the line that closes its object (ListFrames); an empty line within one, which the next sign of life brings, says that it broke off, and the watch is opened anew from the last version. Test: aWatchMayComeIndentedAndInPieces, in pieces of 1, 7 and all bytes; all three fail without the change.

--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -168,7 +168,9 @@
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
 
         private final boolean watching;
+        private final ListFrames frames = new ListFrames();
         private ByteBuf text;
+        private int seen;  // of the text, by the frames
         private boolean begun;
         private boolean over;
         private String cause = "the connection ended";
@@ -203,10 +205,14 @@
         }
 
         private void read(ChannelHandlerContext context, boolean last) throws IOException {
-            for (int end = text.bytesBefore((byte) '\n'); watching && end >= 0; end = text.bytesBefore((byte) '\n')) {
-                take(end);
-                text.skipBytes(1);
-                if (!begun) {
+            while (watching && seen < text.readableBytes()) {
+                byte next = text.getByte(text.readerIndex() + seen++);
+                if (frames.ends(next)) {
+                    take(seen);
+                    frames.begin();
+                    seen = 0;
+                }
+                if (next == '\n' && !begun) {
                     begun = true;
                     context.pipeline().replace(ReadTimeoutHandler.class, null, readTimeout(SILENCE_MILLIS));
                 }
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -66,6 +66,30 @@
         }
     }
 
+    /** Guards against lists that are never learned since they come indented, or in pieces cut anywhere; a list that breaks
+        off is noticed by the next sign of life, and asked for again. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 1_000_000})
+    void aWatchMayComeIndentedAndInPieces(int piece) throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            Message watch = await(discovery.received);
+            String indented = list(7, false, entry("s1", one.address(), "a", "terminating"), up("s}\\\"{2", two))
+                    .replace("{", "{\n  ").replace("},", "},\r\n  ").replace("]", "\n ]").replace("s}\\\"{\n  2", "s}\\\"{2");
+            String lines = "\n" + indented + "\n\n" + list(8, false) + "\n";
+            synchronized (watch.socket()) {  // behind the head of the answer
+                for (int from = 0; from < lines.length(); from += piece) {
+                    String next = lines.substring(from, Math.min(lines.length(), from + piece));
+                    write(watch.socket(), Integer.toHexString(next.length()) + "\r\n" + next + "\r\n");
+                }
+            }
+            awaitBody(node, "two");
+            tell(watch.socket(), "{\"rev\":9,\"all\":true,");
+            tell(watch.socket(), "");
+            assertEquals("GET /v1/endpoints?watch=1&from=8 HTTP/1.1", await(discovery.received).line());
+        }
+    }
+
     /** Guards against a list that stays old after a watch broke: in all these ways it is asked for again, from the
         version that came last. */
     @ParameterizedTest
