Hear what discovery has told before a new process lets clients come

Change: clients come behind the first list, or behind 0.3 s where discovery is silent. Test: aNewProcessHearsOfADrainBeforeItsFirstClient: without the change the node is up while the list is still out.

--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -139,6 +140,7 @@
     private final int openMost;
     private final Map<Long, Exchange> ledger = new HashMap<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
+    private final CompletableFuture<Void> heard = new CompletableFuture<>();
     private boolean inEvent;
     private long nextId = 1;
     private long answerBy = Long.MAX_VALUE;
@@ -165,11 +167,19 @@
         loop.scheduleWithFixedDelay(this::logTally, TALLY_SECONDS, TALLY_SECONDS, TimeUnit.SECONDS);
         module.start(now(), settings, this);
         learn(config.known(), ListForm.CACHED);
-        if (!settings.registryOnRequest()) {
+        if (settings.registryOnRequest()) {
+            heard.complete(null);
+        } else {
             discovery.watch(true);
         }
     }
 
+    /** Done once discovery has told its first list, or that it won't now. Where lists are pushed what it has counts as told
+        from the start of the process on, so that nobody should be served by the list of before. */
+    CompletableFuture<Void> heard() {
+        return heard;
+    }
+
     /** Microseconds; runs on evenly from the Unix time at the start, in which hosts' starts are told. */
     long now() {
         return startedAt + nanoTime.getAsLong() / 1000;
@@ -250,11 +260,15 @@
         tally.set(Tally.Gauge.HOSTS_KNOWN, hosts.known());
         log("list " + list.rev() + ": " + list.entries().size() + (list.all() ? " hosts" : " changes"));
         event(null, now -> module.hosts(now, form, list.entries().stream().map(HostList.Entry::host).toList()));
+        if (form != ListForm.CACHED) {
+            heard.complete(null);
+        }
     }
 
     private void listFailed(String cause) {
         log("discovery failed: " + cause);
         event(null, now -> module.hosts(now, ListForm.FAILED, List.of()));
+        heard.complete(null);
     }
 
     private void countInFlight() {
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -25,6 +25,8 @@
     private static final int RESERVED = 48;
     // Requests are answered long before; what is being passed on in pieces may last, and is owed its rest while it comes.
     private static final int STOP_SECONDS = 30;
+    // An agent on this machine answers at once; while it is silent there is nothing to hear.
+    private static final long FIRST_LIST_MILLIS = 300;
     private static final String REHEARSE = "rehearse";
 
     // Kept, since a logger that nobody holds forgets its level.
@@ -61,6 +63,7 @@
             started.complete(clients.gateway());
             // Before the first request can come: from then on an end without this would lose what was taken.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
+            awaitFirstList(clients.gateway(), FIRST_LIST_MILLIS);
             listen(clients, config, passed, loop, life, System.out);
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
@@ -126,6 +129,11 @@
         }, loop).join();
     }
 
+    /** Waits for what discovery has told before this process began, but no longer: it may be away. */
+    static void awaitFirstList(Gateway gateway, long millis) {
+        gateway.heard().completeOnTimeout(null, millis, TimeUnit.MILLISECONDS).join();
+    }
+
     /** Lets clients come, on the passed socket where there is one; throws IllegalArgumentException where that can't be. */
     static void listen(ClientSide clients, Config config, ServerSocketChannel passed, EventLoop loop, Life life,
             PrintStream out) {
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -32,8 +32,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import mastdrift.net.Loopback.Message;
 import mastdrift.net.Loopback.Node;
@@ -66,6 +68,25 @@
         }
     }
 
+    /** Guards against requests that a new process serves by the list of before its start, in the moment between its first
+        client and its first list: where lists are pushed, what they say counts from the start of the process on. */
+    @Test
+    void aNewProcessHearsOfADrainBeforeItsFirstClient() throws Exception {
+        try (Server one = host("one"); Server two = host("two"); Server discovery = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        })) {
+            Map<String, String> environment = environment(folder, discovery, list(1, true, up("s1", one)),
+                    SETTINGS.replace("on_request", "pushed"));
+            CompletableFuture<Node> starts = CompletableFuture.supplyAsync(() -> new Node(environment));
+            Socket watch = await(discovery.received).socket();
+            assertThrows(TimeoutException.class, () -> starts.get(300, TimeUnit.MILLISECONDS));
+            tell(watch, list(2, false, entry("s1", one.address(), "a", "terminating"), up("s2", two)));
+            try (Node node = starts.get(LIFE_SECONDS, TimeUnit.SECONDS)) {
+                assertEquals("two", node.ask(read(20_000)).text());
+            }
+        }
+    }
+
     /** Guards against lists that are never learned since they come indented, or in pieces cut anywhere; a list that breaks
         off is noticed by the next sign of life, and asked for again. */
     @ParameterizedTest
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -309,6 +309,7 @@
             admin = config.admin() == null ? null : Admin.open(config.admin(), adminLoop, life, tally);
             PrintStream out = new PrintStream(log, true, StandardCharsets.UTF_8);
             clients = Main.prepare(config, loop, () -> System.nanoTime() + ahead.get(), life, tally, out);
+            Main.awaitFirstList(clients.gateway(), TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
             Main.listen(clients, config, passed, loop, life, out);
         }
 
