Know half a request also behind a whole one, and let who is sending make room last

Cause: what was read together with the end of a whole request was not seen as a part of the next (ClientSide's channelReadComplete looked at whether a request had come at all), so that its connection passed for a resting one: closed at a stop, at rest or for room in the midst of a request. Room was taken from connections in the midst of their first request while others rested. Change: the decoder and the assembler tell whether a part is there; HttpServerCodec, which can't, is replaced by the two halves of which it is made. Connections with a part of a request make room after those that rest. Test: whoIsSendingARequestDoesNotMakeRoomWhileOthersRest; without the change the sender's connection ends.

--- a/src/main/java/mastdrift/net/Assembler.java
+++ b/src/main/java/mastdrift/net/Assembler.java
@@ -47,6 +47,11 @@
         return bytes;
     }
 
+    /** Whether there is a part of a message that has not been passed on. */
+    boolean holds() {
+        return head != null;
+    }
+
     /** Of the message that is held now, the end is not known and something has come. */
     boolean holdsOpenEnded() {
         return head != null && length < 0 && held.isReadable();
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -26,9 +26,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -156,9 +157,10 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        Requests requests = new Requests();
                         Assembler assembler = new Assembler();
-                        channel.pipeline().addLast(new HttpServerCodec(), assembler,
-                                new WriteTimeoutHandler(WRITE_SECONDS), new Connection(channel, assembler));
+                        channel.pipeline().addLast(requests, new HttpResponseEncoder(), assembler,
+                                new WriteTimeoutHandler(WRITE_SECONDS), new Connection(channel, requests, assembler));
                     }
                 });
     }
@@ -236,7 +238,8 @@
     }
 
     /** What has been ended already goes first, then those that never asked: silent floods must not push out clients that
-        come back. One that is pushed out leaves its place to the next newcomer, having been ended in order. */
+        come back. Where a part of a request is there its rest may be on the way, so that those go last. One that is pushed
+        out leaves its place to the next newcomer, having been ended in order. */
     private boolean makeRoom(Connection newcomer) {
         if (!lingering.isEmpty()) {
             lingering.iterator().next().channel.close();
@@ -244,8 +247,9 @@
         if (connections.size() <= most) {
             return true;
         }
-        Connection first = Stream.concat(silent.stream(), idle.stream()).filter(c -> c != newcomer).findFirst()
-                .orElse(null);
+        List<Connection> resting = Stream.concat(silent.stream(), idle.stream()).filter(c -> c != newcomer).toList();
+        Connection first = resting.stream().filter(c -> !c.arrival.begun()).findFirst()
+                .orElse(resting.isEmpty() ? null : resting.get(0));
         if (first != null) {
             gateway.tally().add(Tally.Count.CLIENTS_PUSHED_OUT);
             first.end();
@@ -270,9 +274,19 @@
         }
     }
 
+    /** Reads requests. */
+    private static final class Requests extends HttpRequestDecoder {
+
+        /** Whether there are bytes of which no part of a request has come yet. */
+        boolean midway() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
     private final class Connection extends SimpleChannelInboundHandler<Assembler.Part> implements Gateway.Client {
 
         private final Channel channel;
+        private final Requests requests;
         private final Assembler assembler;
         private final Arrival arrival = new Arrival();
         private final Queue<Arrived> waiting = new ArrayDeque<>();
@@ -287,8 +301,9 @@
         private boolean over;  // shut for writing: nothing is taken any more
         private long idleSince = gateway.now();
 
-        Connection(Channel channel, Assembler assembler) {
+        Connection(Channel channel, Requests requests, Assembler assembler) {
             this.channel = channel;
+            this.requests = requests;
             this.assembler = assembler;
         }
 
@@ -401,7 +416,7 @@
             }
         }
 
-        /** What was read without a whole request coming of it is a part of one. */
+        /** What was read without a whole request coming of it is a part of one, also behind a whole one. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             arrival.read(gateway.now());
@@ -412,7 +427,7 @@
                 if (!whole) {
                     channel.close();
                 }
-            } else if (!read && !over) {
+            } else if (!over && (!read || requests.midway() || assembler.holds())) {
                 arrival.begin(gateway.now());
             }
             read = false;
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -114,6 +114,31 @@
         }
     }
 
+    /** Guards against a client that is pushed out in the midst of its request while others rest. */
+    @Test
+    void whoIsSendingARequestDoesNotMakeRoomWhileOthersRest() throws Exception {
+        try (Server discovery = discovery(); Server host = Loopback.host("one");
+                Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket sending = node.connect();
+            write(sending, read(20_000) + read(20_000).substring(0, 40));
+            assertEquals("one", Loopback.read(sending).text());
+            Socket resting = node.connect();
+            write(resting, read(20_000));
+            assertEquals("one", Loopback.read(resting).text());
+            for (int i = 0; i < 6; i++) {  // 64 descriptors leave 8 to clients
+                Socket other = node.connect();
+                write(other, read(20_000));
+                assertEquals("one", Loopback.read(other).text());
+            }
+            Socket newcomer = node.connect();
+            write(newcomer, read(20_000));
+            assertEquals("one", Loopback.read(newcomer).text());
+            assertEquals(-1, resting.getInputStream().read());
+            write(sending, read(20_000).substring(40));
+            assertEquals("one", Loopback.read(sending).text());
+        }
+    }
+
     /** Reads up to a text that the peer is known to send. */
     private static void readTo(Socket socket, String text) throws IOException {
         StringBuilder got = new StringBuilder();
