See a client leave while reading pauses, by a little read now and then

Cause: with reading paused, since more of a long body has come than is held before there is a connection for it, neither FIN nor reset is seen: the request was sent on when its connection came up, up to its whole time later. Change: while a request waits for its first attempt and reading pauses, one read every 0.1 s. A reset is seen by the first, a FIN behind what had been sent before it, at 160 kB a second: what a client leaves unread beyond 50 kB is seen later than 0.3 s. Ruled out: what waits behind a request that is out goes with its client already. Tests: whatAClientLeftBehindIsNotSentOnThoughReadingPauses, by FIN and by reset; without the change none of its departures is seen. whatWaitsBehindARequestThatIsOutGoesWithItsClient holds without it.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -77,6 +77,7 @@
     private static final long LINGER_MILLIS = 2000;
     /** Hundreds of connections may each hold a read and a write of this size. */
     static final WriteBufferWaterMark WRITE_SIZES = new WriteBufferWaterMark(16 << 10, 32 << 10);
+    private static final long LOOK_MILLIS = 100;
     private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
     private static final long SWEEP_MILLIS = 250;
     // A drain has 4 s to leave no client here. New connections come until the front has heard: answers tell clients to
@@ -299,6 +300,7 @@
         private String id;
         private boolean read;
         private boolean over;  // shut for writing: nothing is taken any more
+        private Future<?> looking;  // for a departure, while reading pauses
         private long idleSince = gateway.now();
 
         Connection(Channel channel, Requests requests, Assembler assembler) {
@@ -312,6 +314,21 @@
             boolean reads = over || waiting.size() <= PIPELINED_MOST && (coming == null || !coming.full());
             if (arrival.pause(!reads, gateway.now())) {
                 channel.config().setAutoRead(reads);
+                if (!reads && looking == null) {
+                    looking = loop.schedule(this::lookForDeparture, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+
+        /** A departure is learned by reading alone. While that pauses, a little is read now and then for a request that is
+            still to be sent on, lest it be sent for nobody; its span bounds what that adds up to. */
+        private void lookForDeparture() {
+            looking = null;
+            if (channel.isActive() && !channel.config().isAutoRead()) {
+                if (exchange != null && exchange.waits()) {
+                    channel.read();
+                }
+                looking = loop.schedule(this::lookForDeparture, LOOK_MILLIS, TimeUnit.MILLISECONDS);
             }
         }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -108,6 +108,11 @@
             }
         }
 
+        /** Whether nothing of it has been sent on yet. */
+        boolean waits() {
+            return !ended && attempts.stream().noneMatch(HostPool.Attempt::begun);
+        }
+
         /** All of it is there and its time counts, or its end makes that of no matter. */
         private void whole() {
             if (coming) {
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -114,6 +114,42 @@
         }
     }
 
+    /** The same while reading pauses, since more of a long body has come than is held before there is a connection for it;
+        and for what waits behind a request that is out. */
+    @ParameterizedTest
+    @CsvSource({"100000, true", "100000, false", "1000000, true"})
+    void whatAClientLeftBehindIsNotSentOnThoughReadingPauses(int length, boolean reset) throws Exception {
+        String settings = SETTINGS.replace("\"dial_timeout\":20000000", "\"dial_timeout\":600000000");
+        try (Server discovery = discovery(); LateHost late = new LateHost();
+                Node node = node(discovery, settings, up("s1", late.address()))) {
+            Socket client = node.connect();
+            write(client, post("start", 60_000, "x".repeat(length)).substring(0, length));  // its end is missing
+            until(() -> counted(node, Tally.Count.HOST_DIALS) == 1);
+            if (reset) {
+                client.setSoLinger(true, 0);
+            }
+            client.close();
+            until(() -> counted(node, Tally.Count.DEPARTED) == 1);
+            assertNothingIsOwed(node);
+            assertEquals(0, counted(node, Tally.Count.ATTEMPTS_WRITTEN));
+        }
+    }
+
+    @Test
+    void whatWaitsBehindARequestThatIsOutGoesWithItsClient() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Node node = node(discovery, SETTINGS, up("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, read(20_000) + read(20_000).replace("9b1f", "9b20"));
+            await(host.received);
+            client.close();
+            until(() -> counted(node, Tally.Count.DEPARTED) == 1);
+            assertNothingIsOwed(node);
+            assertEquals(1, counted(node, Tally.Count.TAKEN));
+            assertEquals(1, counted(node, Tally.Count.ATTEMPTS_WRITTEN));
+        }
+    }
+
     /** Guards against a client that is pushed out in the midst of its request while others rest. */
     @Test
     void whoIsSendingARequestDoesNotMakeRoomWhileOthersRest() throws Exception {
