--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -79,7 +79,7 @@
     static final WriteBufferWaterMark WRITE_SIZES = new WriteBufferWaterMark(16 << 10, 32 << 10);
     private static final long LOOK_MILLIS = 100;
     private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
-    private static final long SWEEP_MILLIS = 250;
+    private static final long SWEEP_SPAN = 250_000;
     // A drain has 4 s to leave no client here. New connections come until the front has heard: answers tell clients to
     // leave from then on, and what nobody asks on by the second moment is closed.
     private static final long DRAIN_CLOSING_MILLIS = 500;
@@ -140,7 +140,7 @@
 
     private ChannelFuture listening(ChannelFuture begun) {
         server = begun.channel();
-        loop.scheduleWithFixedDelay(this::closeOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        Periodic.every(loop, SWEEP_SPAN, this::closeOverdue, gateway::log);
         return begun;
     }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -44,8 +44,8 @@
     private static final long BACKSTOP = 2_000;
     // A probe is answered beside the queue: no answer by then is none.
     private static final long PROBE_TIMEOUT = 250_000;
-    private static final long TALLY_SECONDS = 5;
-    private static final long FIGURES_MILLIS = 200;  // figures may lag by half a second
+    private static final long TALLY_SPAN = 5_000_000;
+    private static final long FIGURES_SPAN = 200_000;  // figures may lag by half a second
     private static final String[] PASSED_ON = {"X-Trace-Id", "Idempotency-Key"};
 
     /** Where the one final answer goes. */
@@ -169,7 +169,7 @@
                 settings.rules().drainGrace(), hostConnections, tally, this::log);
         discovery = new Discovery(loop, config.discovery(), config.known().rev(),
                 list -> learn(list, list.all() ? ListForm.FULL : ListForm.DELTA), this::listFailed);
-        loop.scheduleWithFixedDelay(this::logTally, TALLY_SECONDS, TALLY_SECONDS, TimeUnit.SECONDS);
+        Periodic.every(loop, TALLY_SPAN, this::logTally, this::log);
         module.start(now(), settings, this);
         learn(config.known(), ListForm.CACHED);
         if (settings.registryOnRequest()) {
@@ -197,8 +197,7 @@
 
     /** Keeps the figures fresh that are not counted but looked at. */
     void keepFigures() {
-        loop.scheduleWithFixedDelay(() -> tally.set(Tally.Gauge.HOSTS_EXCLUDED, module.excluded(now())), 0,
-                FIGURES_MILLIS, TimeUnit.MILLISECONDS);
+        Periodic.every(loop, FIGURES_SPAN, () -> tally.set(Tally.Gauge.HOSTS_EXCLUDED, module.excluded(now())), this::log);
     }
 
     /** Whether all that was taken, and every attempt at it, has ended and nothing is held for it any more. */
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -129,7 +129,7 @@
                     }
                 });
         long sweep = Math.min(idleMost / 8 + 1, 1_000_000);
-        loop.scheduleWithFixedDelay(this::closeAged, sweep, sweep, TimeUnit.MICROSECONDS);
+        Periodic.every(loop, sweep, this::closeAged, faults);
     }
 
     /** Hosts that leave, are gone or have started anew lose their idle connections at once. */
@@ -262,7 +262,7 @@
     /** This gateway is about to end, and its successor opens connections already: both have one bound on them. */
     void retire() {
         idleMost = Math.min(idleMost, RETIRED_IDLE);
-        loop.scheduleWithFixedDelay(this::closeAged, 0, RETIRED_SWEEP, TimeUnit.MICROSECONDS);
+        Periodic.every(loop, RETIRED_SWEEP, this::closeAged, faults);
     }
 
     void closeIdle(String uid) {
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -149,6 +150,19 @@
         return events;
     }
 
+    /** Guards against sweeps that one fault ends for good: nothing would be closed or told from then on. */
+    @Test
+    void aFaultInAPeriodicTaskIsToldAndTheNextTurnComes() throws Exception {
+        BlockingQueue<String> faults = new LinkedBlockingQueue<>();
+        CountDownLatch turns = new CountDownLatch(3);
+        Periodic.every(loop, 1_000, () -> {
+            turns.countDown();
+            throw new OutOfMemoryError("on purpose");
+        }, faults::add);
+        assertTrue(turns.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+        assertTrue(Loopback.await(faults).contains("on purpose"));
+    }
+
     /** Guards against a log that leaves an operator guessing where requests went. */
     @Test
     void theTallyTellsWhatWasCountedOnce() {
