Don't end a connection in the midst of a request at a stop where its answer crosses the moment

Cause: an answer that was decided to keep its connection before the stop's last phase, and is out after it, led to the end of the connection even where a part of the next request had come. Found on reading the change again. Such a connection waits for its request, which is answered as the last.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -477,7 +477,7 @@
         private void next() {
             Arrived arrived = waiting.poll();
             pace();
-            if (arrived == null && stopped != null) {
+            if (arrived == null && stopped != null && !arrival.begun()) {
                 end();
                 return;
             }
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -311,7 +311,7 @@
             write(resting, "GET /ready HTTP/1.1\r\n\r\n");
             assertEquals(200, Loopback.read(resting).status());
             node.loop.execute(() -> node.clients.stop(stopped::countDown));
-            assertEquals(-1, resting.getInputStream().read());  // nothing more is taken
+            assertEquals(-1, resting.getInputStream().read());  // what comes now is the last
             write(first.socket(), answer("200 OK", "first"));
             assertEquals("first", Loopback.read(client).text());
             write(await(host.received).socket(), answer("200 OK", "second"));
