Count a long body's wait for its connection against its time

Cause: the time of a request in pieces ran anew from the last byte written to the host. A client whose whole body lay unread while reading paused, since no connection had come up, had sent its last byte long before: with a connection 1.4 s late and a host that then hung, its answer came up to 1.4 s after its time. Change: where the rest had filled its relay, or come whole, by the time its connection is up, the other parts of the way have what is left of the timeout. Bodies that are still coming keep their own time from the last byte on. Test: aLongBodyThatWaitedForAConnectionHasNoMoreTimeForThat; without the change its request is open 7 s after its time. The test's late host no longer takes one of its own connections for the gateway's.

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -184,7 +184,8 @@
     }
 
     /** Likewise with a rest, null where there is none: then the timeout is for each part of the way, the connection, a
-        host that takes nothing more, and the answer from the last byte on. */
+        host that takes nothing more, and the answer from the last byte on. Where the rest waited for the connection, the
+        other parts have what is left of it. */
     Attempt send(String uid, FullHttpRequest message, Relay rest, long timeout, Ended ended) {
         Attempt attempt = new Attempt(message, rest, timeout, ended);
         Peer peer = peers.get(uid);
@@ -282,7 +283,7 @@
 
         private final FullHttpRequest message;
         private final Relay rest;
-        private final long timeout;
+        private long timeout;
         private final Ended ended;
         private long ends;
         private long movedAt;  // when the host last took a piece of the rest, or none was there
@@ -478,6 +479,9 @@
             channel.write(head);
             channel.writeAndFlush(new DefaultHttpContent(from.content()));
             mine.stopTimers();
+            if (mine.rest.full() || mine.rest.over()) {  // reading has paused: what is to come may be there since long
+                mine.timeout = mine.ends - clock.getAsLong();
+            }
             mine.movedAt = clock.getAsLong();
             mine.awaitMove();
             mine.ended.relaying();
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -236,6 +236,22 @@
         }
     }
 
+    /** Guards against an answer that comes too late since the client's last byte was there long before it was read: reading
+        pauses while a long body has no connection yet, and its client's time runs. */
+    @Test
+    void aLongBodyThatWaitedForAConnectionHasNoMoreTimeForThat() throws Exception {
+        try (Server discovery = discovery(); LateHost late = new LateHost();
+                Node node = node(discovery, SETTINGS, up("s1", late.address()))) {
+            Socket client = node.connect();
+            write(client, post("start", 20_000, "x".repeat(120_000)));
+            until(() -> counted(node, Tally.Count.HOST_DIALS) == 1);
+            node.jump(15_000);
+            assertEquals(120_000, Loopback.read(late.open()).body().length);
+            assertTrue(owesNothingAfter(node, 7_000));
+            assertEquals(504, Loopback.read(client).status());
+        }
+    }
+
     /** Guards against a part that passes for the whole, at a client of HTTP/1.0, to which only the end tells the length. */
     @Test
     void anAnswerThatBreaksIsResetWhereItsEndWouldBeItsLength() throws Exception {
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -15,8 +15,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -195,6 +197,7 @@
         private static final int FULL_MILLIS = 500;  // far beyond what a connection on this machine takes
         private final ServerSocket socket;
         private final List<Socket> queued = new ArrayList<>();
+        private final Set<Integer> own = new HashSet<>();  // the ports of those that fill the queue, or found it full
 
         LateHost() throws IOException {
             socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
@@ -206,6 +209,8 @@
 
         private boolean queues() throws IOException {
             Socket next = new Socket();
+            next.bind(new InetSocketAddress(socket.getInetAddress(), 0));
+            own.add(next.getLocalPort());
             try {
                 next.connect(socket.getLocalSocketAddress(), FULL_MILLIS);
                 return queued.add(next);
@@ -219,12 +224,13 @@
             return "127.0.0.1:" + socket.getLocalPort();
         }
 
-        /** Lets connections come up, and returns the first that does. */
+        /** Lets connections come up, and returns the first of another's that does. */
         Socket open() throws IOException {
-            for (int i = 0; i < queued.size(); i++) {
-                socket.accept().close();
-            }
             Socket first = socket.accept();
+            while (own.contains(first.getPort())) {
+                first.close();
+                first = socket.accept();
+            }
             first.setSoTimeout(WAIT_SECONDS * 1000);
             return first;
         }
