Let system calls of rig processes fail, by a preloaded library with seeded rules

A plan's fault of kind system_call names call, error, rate and side; the library logs each injected fault on the monotonic clock. Clients may connect anew for each request, and a request that a host had begun when its gateway ended a kept connection counts as lost.

--- /dev/null
+++ b/rig/src/main/c/syscall_faults.c
@@ -0,0 +1,513 @@
+/*
+ * Fault injection for system calls, preloaded into one process (LD_PRELOAD).
+ *
+ * The control file named by SYSCALL_FAULTS is mapped read-only. Its first line is a generation number and a seed; every
+ * further line is a rule:
+ *
+ *     call error rate side argument
+ *
+ *   call      accept, socket, connect, connect_result, read, write, epoll_wait, eventfd_read, eventfd_write, poll,
+ *             setsockopt, getsockopt, shutdown, close, open, fsync, clock
+ *   error     the name of an errno value, or SHORT (moves at most `argument` bytes), EOF (end of stream), DELAY (waits
+ *             `argument` milliseconds, then calls), STEP (the real-time clock is off by `argument` milliseconds)
+ *   rate      the probability that a matching call is affected
+ *   side      client (accepted sockets), upstream (connected sockets) or any
+ *   argument  a whole number, 0 where the error has none
+ *
+ * The writer changes the generation last, so that a rule is never read while it is being written. Each injected fault is
+ * appended to the file named by SYSCALL_LOG: CLOCK_MONOTONIC in microseconds, call, error, descriptor.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+#include <poll.h>
+
+#define CONTROL_BYTES 4096
+#define RULES_MOST 32
+#define DESCRIPTORS_MOST 65536
+
+enum call { ACCEPT, SOCKET, CONNECT, CONNECT_RESULT, READ, WRITE, EPOLL_WAIT, EVENTFD_READ, EVENTFD_WRITE, POLL, SETSOCKOPT,
+    GETSOCKOPT, SHUTDOWN, CLOSE, OPEN, FSYNC, CLOCK, CALLS };
+static const char *const CALL_NAMES[CALLS] = { "accept", "socket", "connect", "connect_result", "read", "write",
+    "epoll_wait", "eventfd_read", "eventfd_write", "poll", "setsockopt", "getsockopt", "shutdown", "close", "open", "fsync",
+    "clock" };
+
+enum side { ANY, CLIENT, UPSTREAM, EVENTFD };
+
+/* Forms of a fault that are no errno value. */
+enum { FORM_SHORT = -1, FORM_EOF = -2, FORM_DELAY = -3, FORM_STEP = -4 };
+
+static const struct { const char *name; int value; } ERRORS[] = {
+    { "ECONNABORTED", ECONNABORTED }, { "EMFILE", EMFILE }, { "ENFILE", ENFILE }, { "ENOBUFS", ENOBUFS },
+    { "ENOMEM", ENOMEM }, { "EPROTO", EPROTO }, { "EINTR", EINTR }, { "EAGAIN", EAGAIN }, { "EADDRNOTAVAIL", EADDRNOTAVAIL },
+    { "ENETUNREACH", ENETUNREACH }, { "EHOSTUNREACH", EHOSTUNREACH }, { "ECONNREFUSED", ECONNREFUSED },
+    { "ETIMEDOUT", ETIMEDOUT }, { "ECONNRESET", ECONNRESET }, { "EPIPE", EPIPE }, { "EINVAL", EINVAL },
+    { "ENOTCONN", ENOTCONN }, { "EIO", EIO }, { "ENOSPC", ENOSPC }, { "ENETDOWN", ENETDOWN }, { "EPERM", EPERM },
+    { "SHORT", FORM_SHORT }, { "EOF", FORM_EOF }, { "DELAY", FORM_DELAY }, { "STEP", FORM_STEP },
+};
+
+struct rule { int call; int error; double rate; int side; long argument; };
+
+static const char *control;
+static int log_descriptor = -1;
+static char generation[24];
+static struct rule rules[RULES_MOST];
+static int rule_count;
+static pthread_rwlock_t rules_lock = PTHREAD_RWLOCK_INITIALIZER;
+static _Atomic uint64_t draws;
+static uint64_t seed;
+static unsigned char sides[DESCRIPTORS_MOST];
+
+static int error_value(const char *name)
+{
+    for (size_t i = 0; i < sizeof ERRORS / sizeof ERRORS[0]; i++) {
+        if (strcmp(ERRORS[i].name, name) == 0) {
+            return ERRORS[i].value;
+        }
+    }
+    return 0;
+}
+
+static const char *error_name(int value)
+{
+    for (size_t i = 0; i < sizeof ERRORS / sizeof ERRORS[0]; i++) {
+        if (ERRORS[i].value == value) {
+            return ERRORS[i].name;
+        }
+    }
+    return "?";
+}
+
+static int call_value(const char *name)
+{
+    for (int i = 0; i < CALLS; i++) {
+        if (strcmp(CALL_NAMES[i], name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* The control file's first line, up to the end of the line. */
+static void read_generation(char *into, size_t size)
+{
+    size_t i = 0;
+    while (i + 1 < size && control[i] != '\0' && control[i] != '\n') {
+        into[i] = control[i];
+        i++;
+    }
+    into[i] = '\0';
+}
+
+static void parse_rules(void)
+{
+    char text[CONTROL_BYTES];
+    memcpy(text, control, sizeof text);
+    text[sizeof text - 1] = '\0';
+    char *rest = NULL;
+    char *line = strtok_r(text, "\n", &rest);
+    unsigned long number = 0;
+    if (line != NULL) {
+        sscanf(line, "%lu %lu", &number, &seed);
+    }
+    rule_count = 0;
+    while ((line = strtok_r(NULL, "\n", &rest)) != NULL && rule_count < RULES_MOST) {
+        char call[24], error[24], side[24];
+        struct rule rule;
+        if (sscanf(line, "%23s %23s %lf %23s %ld", call, error, &rule.rate, side, &rule.argument) != 5) {
+            continue;
+        }
+        rule.call = call_value(call);
+        rule.error = error_value(error);
+        rule.side = strcmp(side, "client") == 0 ? CLIENT : strcmp(side, "upstream") == 0 ? UPSTREAM : ANY;
+        rules[rule_count++] = rule;
+    }
+}
+
+static void refresh(void)
+{
+    char seen[sizeof generation];
+    read_generation(seen, sizeof seen);
+    if (strcmp(seen, generation) == 0) {
+        return;
+    }
+    pthread_rwlock_wrlock(&rules_lock);
+    memcpy(generation, seen, sizeof generation);
+    parse_rules();
+    pthread_rwlock_unlock(&rules_lock);
+}
+
+static double draw(void)
+{
+    uint64_t z = seed + 0x9E3779B97F4A7C15ULL * (atomic_fetch_add(&draws, 1) + 1);
+    z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    z = (z ^ (z >> 27)) * 0x94D049BB133111EBULL;
+    return (double) ((z ^ (z >> 31)) >> 11) / (double) (1ULL << 53);
+}
+
+static void log_fault(int call, int error, int descriptor)
+{
+    struct timespec now;
+    char line[96];
+    syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &now);
+    int length = snprintf(line, sizeof line, "%lld %s %s %d\n", (long long) now.tv_sec * 1000000 + now.tv_nsec / 1000,
+            CALL_NAMES[call], error_name(error), descriptor);
+    if (log_descriptor >= 0) {
+        syscall(SYS_write, log_descriptor, line, (size_t) length);
+    }
+}
+
+static int side_of(int descriptor)
+{
+    return descriptor >= 0 && descriptor < DESCRIPTORS_MOST ? sides[descriptor] : ANY;
+}
+
+static void remember(int descriptor, int side)
+{
+    if (descriptor >= 0 && descriptor < DESCRIPTORS_MOST) {
+        sides[descriptor] = (unsigned char) side;
+    }
+}
+
+/* Whether this call is affected, and by which rule. A DELAY is carried out here, and the call goes on. */
+static int affected(int call, int descriptor, struct rule *found)
+{
+    if (control == NULL) {
+        return 0;
+    }
+    int keep = errno;
+    refresh();
+    int hit = 0;
+    pthread_rwlock_rdlock(&rules_lock);
+    for (int i = 0; i < rule_count && !hit; i++) {
+        struct rule *rule = &rules[i];
+        int matches = rule->call == call && (rule->side == ANY || rule->side == side_of(descriptor));
+        if (matches && (rule->error == FORM_STEP || draw() < rule->rate)) {
+            *found = *rule;
+            hit = 1;
+        }
+    }
+    pthread_rwlock_unlock(&rules_lock);
+    if (hit && found->error != FORM_STEP) {
+        log_fault(call, found->error, descriptor);
+    }
+    errno = keep;
+    if (hit && found->error == FORM_DELAY) {
+        struct timespec wait = { found->argument / 1000, found->argument % 1000 * 1000000 };
+        syscall(SYS_clock_nanosleep, CLOCK_MONOTONIC, 0, &wait, NULL);
+        return 0;
+    }
+    return hit;
+}
+
+/* The function of that name behind this library, looked up once. */
+#define NEXT(name) (*({ \
+    static __typeof__(&name) found; \
+    if (found == NULL) { \
+        found = (__typeof__(&name)) dlsym(RTLD_NEXT, #name); \
+    } \
+    found; \
+}))
+
+__attribute__((constructor)) static void prepare(void)
+{
+    const char *path = getenv("SYSCALL_FAULTS");
+    const char *log = getenv("SYSCALL_LOG");
+    if (path == NULL) {
+        return;
+    }
+    int descriptor = (int) syscall(SYS_openat, AT_FDCWD, path, O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0) {
+        return;
+    }
+    void *mapped = mmap(NULL, CONTROL_BYTES, PROT_READ, MAP_SHARED, descriptor, 0);
+    syscall(SYS_close, descriptor);
+    if (log != NULL) {
+        log_descriptor = (int) syscall(SYS_openat, AT_FDCWD, log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    }
+    if (mapped != MAP_FAILED) {
+        control = mapped;
+    }
+}
+
+static int fail(struct rule *rule)
+{
+    errno = rule->error;
+    return -1;
+}
+
+int accept(int descriptor, struct sockaddr *address, socklen_t *length)
+{
+    struct rule rule;
+    if (affected(ACCEPT, descriptor, &rule)) {
+        return fail(&rule);
+    }
+    int accepted = NEXT(accept)(descriptor, address, length);
+    remember(accepted, CLIENT);
+    return accepted;
+}
+
+int accept4(int descriptor, struct sockaddr *address, socklen_t *length, int flags)
+{
+    struct rule rule;
+    if (affected(ACCEPT, descriptor, &rule)) {
+        return fail(&rule);
+    }
+    int accepted = NEXT(accept4)(descriptor, address, length, flags);
+    remember(accepted, CLIENT);
+    return accepted;
+}
+
+int socket(int domain, int type, int protocol)
+{
+    struct rule rule;
+    if (affected(SOCKET, -1, &rule)) {
+        return fail(&rule);
+    }
+    int made = NEXT(socket)(domain, type, protocol);
+    remember(made, ANY);
+    return made;
+}
+
+int connect(int descriptor, const struct sockaddr *address, socklen_t length)
+{
+    struct rule rule;
+    remember(descriptor, UPSTREAM);
+    if (affected(CONNECT, descriptor, &rule)) {
+        if (rule.error == EINTR) {
+            NEXT(connect)(descriptor, address, length); /* it goes on in the background */
+        }
+        return fail(&rule);
+    }
+    return NEXT(connect)(descriptor, address, length);
+}
+
+int getsockopt(int descriptor, int level, int option, void *value, socklen_t *length)
+{
+    struct rule rule;
+    if (level == SOL_SOCKET && option == SO_ERROR) {
+        if (affected(CONNECT_RESULT, descriptor, &rule)) {
+            *(int *) value = rule.error;
+            return 0;
+        }
+    } else if (affected(GETSOCKOPT, descriptor, &rule)) {
+        return fail(&rule);
+    }
+    return NEXT(getsockopt)(descriptor, level, option, value, length);
+}
+
+int setsockopt(int descriptor, int level, int option, const void *value, socklen_t length)
+{
+    struct rule rule;
+    if (affected(SETSOCKOPT, descriptor, &rule)) {
+        return fail(&rule);
+    }
+    return NEXT(setsockopt)(descriptor, level, option, value, length);
+}
+
+int shutdown(int descriptor, int how)
+{
+    struct rule rule;
+    if (affected(SHUTDOWN, descriptor, &rule)) {
+        return fail(&rule);
+    }
+    return NEXT(shutdown)(descriptor, how);
+}
+
+/* The descriptor is gone, as Linux has it, whatever the call says. */
+int close(int descriptor)
+{
+    struct rule rule;
+    int tracked = side_of(descriptor) == CLIENT || side_of(descriptor) == UPSTREAM;
+    int hit = tracked && affected(CLOSE, descriptor, &rule);
+    remember(descriptor, ANY);
+    int result = NEXT(close)(descriptor);
+    return hit ? fail(&rule) : result;
+}
+
+int eventfd(unsigned int initial, int flags)
+{
+    int made = NEXT(eventfd)(initial, flags);
+    remember(made, EVENTFD);
+    return made;
+}
+
+static int tracked(int descriptor)
+{
+    return side_of(descriptor) != ANY;
+}
+
+static int reading(int descriptor)
+{
+    return side_of(descriptor) == EVENTFD ? EVENTFD_READ : READ;
+}
+
+static int writing(int descriptor)
+{
+    return side_of(descriptor) == EVENTFD ? EVENTFD_WRITE : WRITE;
+}
+
+static size_t shorter(size_t count, struct rule *rule)
+{
+    size_t most = rule->argument > 0 ? (size_t) rule->argument : 1;
+    return count < most ? count : most;
+}
+
+ssize_t read(int descriptor, void *bytes, size_t count)
+{
+    struct rule rule;
+    if (tracked(descriptor) && affected(reading(descriptor), descriptor, &rule)) {
+        if (rule.error == FORM_EOF) {
+            return 0;
+        }
+        if (rule.error != FORM_SHORT) {
+            return fail(&rule);
+        }
+        count = shorter(count, &rule);
+    }
+    return NEXT(read)(descriptor, bytes, count);
+}
+
+ssize_t readv(int descriptor, const struct iovec *vectors, int count)
+{
+    struct rule rule;
+    if (tracked(descriptor) && affected(READ, descriptor, &rule)) {
+        if (rule.error == FORM_EOF) {
+            return 0;
+        }
+        if (rule.error != FORM_SHORT) {
+            return fail(&rule);
+        }
+        return NEXT(read)(descriptor, vectors[0].iov_base, shorter(vectors[0].iov_len, &rule));
+    }
+    return NEXT(readv)(descriptor, vectors, count);
+}
+
+ssize_t write(int descriptor, const void *bytes, size_t count)
+{
+    struct rule rule;
+    if (tracked(descriptor) && affected(writing(descriptor), descriptor, &rule)) {
+        if (rule.error != FORM_SHORT) {
+            return fail(&rule);
+        }
+        count = shorter(count, &rule);
+    }
+    return NEXT(write)(descriptor, bytes, count);
+}
+
+ssize_t writev(int descriptor, const struct iovec *vectors, int count)
+{
+    struct rule rule;
+    if (tracked(descriptor) && affected(WRITE, descriptor, &rule)) {
+        if (rule.error != FORM_SHORT) {
+            return fail(&rule);
+        }
+        return NEXT(write)(descriptor, vectors[0].iov_base, shorter(vectors[0].iov_len, &rule));
+    }
+    return NEXT(writev)(descriptor, vectors, count);
+}
+
+int epoll_wait(int descriptor, struct epoll_event *events, int most, int timeout)
+{
+    struct rule rule;
+    if (affected(EPOLL_WAIT, descriptor, &rule)) {
+        return fail(&rule);
+    }
+    return NEXT(epoll_wait)(descriptor, events, most, timeout);
+}
+
+int poll(struct pollfd *descriptors, nfds_t count, int timeout)
+{
+    struct rule rule;
+    if (affected(POLL, -1, &rule)) {
+        return fail(&rule);
+    }
+    return NEXT(poll)(descriptors, count, timeout);
+}
+
+int fsync(int descriptor)
+{
+    struct rule rule;
+    if (affected(FSYNC, descriptor, &rule)) {
+        return fail(&rule);
+    }
+    return NEXT(fsync)(descriptor);
+}
+
+int open(const char *path, int flags, ...)
+{
+    struct rule rule;
+    va_list arguments;
+    va_start(arguments, flags);
+    mode_t mode = va_arg(arguments, mode_t);
+    va_end(arguments);
+    if (affected(OPEN, -1, &rule)) {
+        return fail(&rule);
+    }
+    return (int) syscall(SYS_openat, AT_FDCWD, path, flags, mode);
+}
+
+int open64(const char *path, int flags, ...)
+{
+    struct rule rule;
+    va_list arguments;
+    va_start(arguments, flags);
+    mode_t mode = va_arg(arguments, mode_t);
+    va_end(arguments);
+    if (affected(OPEN, -1, &rule)) {
+        return fail(&rule);
+    }
+    return (int) syscall(SYS_openat, AT_FDCWD, path, flags | O_LARGEFILE, mode);
+}
+
+static long step_millis(void)
+{
+    struct rule rule;
+    return affected(CLOCK, -1, &rule) && rule.error == FORM_STEP ? rule.argument : 0;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now)
+{
+    int result = (int) syscall(SYS_clock_gettime, clock, now);
+    if (result == 0 && clock == CLOCK_REALTIME) {
+        long step = step_millis();
+        now->tv_sec += step / 1000;
+        now->tv_nsec += step % 1000 * 1000000;
+        if (now->tv_nsec < 0) {
+            now->tv_nsec += 1000000000;
+            now->tv_sec--;
+        } else if (now->tv_nsec >= 1000000000) {
+            now->tv_nsec -= 1000000000;
+            now->tv_sec++;
+        }
+    }
+    return result;
+}
+
+int gettimeofday(struct timeval *restrict now, void *restrict zone)
+{
+    (void) zone;
+    struct timespec precise;
+    int result = clock_gettime(CLOCK_REALTIME, &precise);
+    now->tv_sec = precise.tv_sec;
+    now->tv_usec = precise.tv_nsec / 1000;
+    return result;
+}
--- a/rig/src/main/java/mastdrift/rig/Draw.java
+++ b/rig/src/main/java/mastdrift/rig/Draw.java
@@ -34,7 +34,7 @@
         List<String> first = process.equals(Stage.LEADER) ? List.of(process) : matching(names, process);
         List<String> chosen = trouble.pick() == 0 ? first : some(first, trouble.pick(), dice);
         return new Fault(id, trouble.kind(), at, span, chosen, link ? matching(names, trouble.to()) : List.of(),
-                trouble.way(), size, trouble.spread(), trouble.back(), trouble.when(), trouble.heal());
+                trouble.way(), size, trouble.spread(), trouble.back(), trouble.when(), trouble.heal(), trouble.systemCall());
     }
 
     private static long millis(Range seconds, Dice dice) {
--- a/rig/src/main/java/mastdrift/rig/Fault.java
+++ b/rig/src/main/java/mastdrift/rig/Fault.java
@@ -17,9 +17,10 @@
  * @param back with which folder a process is started again
  * @param when an expression that a line of some process's log has to hold first; null for none
  * @param heal the part of the links that heal at its end; the rest only when all is healed
+ * @param systemCall what fails, null for other kinds
  */
 record Fault(int id, Kind kind, long at, long span, List<String> processes, List<String> others, Link.Way way, double size,
-        double spread, Back back, String when, double heal) {
+        double spread, Back back, String when, double heal, SystemCall systemCall) {
 
     /** What goes wrong; {@code link} between processes, or with a process itself. */
     enum Kind {
@@ -45,7 +46,9 @@
         /** Its Unix time jumps by size milliseconds, for the span. */
         CLOCK_JUMP(false),
         /** Its clocks run at size times their speed, for the span. */
-        CLOCK_RATE(false);
+        CLOCK_RATE(false),
+        /** System calls of the process fail; the size is the error's argument. */
+        SYSTEM_CALL(false);
 
         final boolean link;
 
@@ -60,7 +63,7 @@
     /** The same with one process, the leader of the moment; nobody where there is none. */
     Fault of(String process) {
         return new Fault(id, kind, at, span, process == null ? List.of() : List.of(process), others, way, size, spread, back,
-                when, heal);
+                when, heal, systemCall);
     }
 
     /** For the history. */
@@ -76,6 +79,9 @@
         if (size != 0) {
             facts.put("size", size);
         }
+        if (systemCall != null) {
+            facts.put("system_call", systemCall.rule(Math.round(size)));
+        }
         return facts;
     }
 }
--- a/rig/src/main/java/mastdrift/rig/Load.java
+++ b/rig/src/main/java/mastdrift/rig/Load.java
@@ -53,6 +53,7 @@
     private final Dice dice;
     private final double rate;
     private final int keys;
+    private final double fresh;
     private final Map<String, Target> targets = new HashMap<>();
     private final CountDownLatch over = new CountDownLatch(1);
     private long until;
@@ -61,11 +62,13 @@
     private int out;
     private boolean closed;
 
-    Load(EventLoop loop, Map<String, InetSocketAddress> gateways, double rate, int keys, long seed, History history) {
+    Load(EventLoop loop, Map<String, InetSocketAddress> gateways, double rate, int keys, double fresh, long seed,
+            History history) {
         this.loop = loop;
         this.history = history;
         this.rate = rate;
         this.keys = keys;
+        this.fresh = fresh;
         dice = new Dice(seed, "load");
         gateways.forEach((name, at) -> targets.put(name, new Target(name, at)));
     }
@@ -192,8 +195,10 @@
         private final String key;
         private Target target;
         private String before;  // the gateway whose connection ended under it, before it was sent once more
+        private long cutAt;  // when it ended
         private boolean written;
         private boolean over;
+        private boolean last;  // on its connection, which is its own
         private Channel channel;
 
         Shot(long due) {
@@ -214,7 +219,8 @@
                 end("nobody", 0, null);
                 return;
             }
-            Channel kept = target.idle.poll();
+            last = fresh > 0 && dice.unit() < fresh;
+            Channel kept = last ? null : target.idle.poll();
             while (kept != null && !kept.isActive()) {
                 kept = target.idle.poll();
             }
@@ -258,6 +264,7 @@
             }
             if (reused || !written) {
                 before = target.name;
+                cutAt = History.now();
                 send(1);
             } else {
                 end("lost", 0, null);
@@ -286,6 +293,7 @@
             facts.put("status", status);
             if (before != null) {
                 facts.put("before", before);
+                facts.put("cut_at", cutAt);
             }
             if (retryAfter != null) {
                 facts.put("retry_after", retryAfter);
@@ -325,7 +333,7 @@
                 return;
             }
             done.answered(answer);
-            if (HttpUtil.isKeepAlive(answer) && !closed) {
+            if (HttpUtil.isKeepAlive(answer) && !closed && !done.last) {
                 done.target.idle.push(context.channel());
             } else {
                 context.close();
--- a/rig/src/main/java/mastdrift/rig/PlanFile.java
+++ b/rig/src/main/java/mastdrift/rig/PlanFile.java
@@ -33,7 +33,8 @@
                 h.whole("lease_ms", 0, 0, 600_000));
         h.done();
         TomlFile.Section l = top.section("load");
-        RigPlan.Load load = new RigPlan.Load(l.range("rate", 0, 0, 0, 20_000), l.whole("keys", 250, 1, 1_000_000));
+        RigPlan.Load load = new RigPlan.Load(l.range("rate", 0, 0, 0, 20_000), l.whole("keys", 250, 1, 1_000_000),
+                l.real("fresh", 0, 0, 1));
         l.done();
         TomlFile.Section r = top.section("registry");
         RigPlan.Registry registry = new RigPlan.Registry(r.whole("replicas", 0, 0, 7));
@@ -108,9 +109,20 @@
         }
         RigPlan.Trouble trouble = new RigPlan.Trouble(kind, process, from, to, f.whole("pick", 0, 0, 200),
                 f.range("at_s", 3, 6, 0, 3600), f.range("for_s", 2, 4, 0, 3600), f.word("way", Link.Way.class, Link.Way.BOTH),
-                f.range("size", 0, 0, 0, 1e9), f.real("spread", 0, 0, 1), f.word("back", Fault.Back.class, Fault.Back.KEEP),
-                when, f.real("heal", 1, 0, 1), f.whole("times", 1, 1, 100));
+                f.range("size", 0, 0, kind == Fault.Kind.SYSTEM_CALL ? -1e9 : 0, 1e9), f.real("spread", 0, 0, 1), f.word("back", Fault.Back.class, Fault.Back.KEEP),
+                when, f.real("heal", 1, 0, 1), f.whole("times", 1, 1, 100),
+                kind == Fault.Kind.SYSTEM_CALL ? systemCall(f) : null);
         f.done();
         return trouble;
     }
+
+    private static SystemCall systemCall(TomlFile.Section f) {
+        SystemCall.Call call = f.word("call", SystemCall.Call.class, null);
+        String name = f.text("error", "");
+        SystemCall.Error error = SystemCall.error(name);
+        if (call != null && (error == null || !call.fails(error))) {
+            f.fault("error", "expected one of " + call.errorNames() + ", not " + name);
+        }
+        return new SystemCall(call, error, f.real("rate", 1, 0, 1), f.word("side", SystemCall.Side.class, SystemCall.Side.ANY));
+    }
 }
--- a/rig/src/main/java/mastdrift/rig/Play.java
+++ b/rig/src/main/java/mastdrift/rig/Play.java
@@ -29,6 +29,7 @@
 
     private static final int READY_SECONDS = 120;
     private static final int AGREE_MILLIS = 3000;  // after the last fault
+    private static final int LOST_BEHIND_MILLIS = 500;  // an answer that is later than that counts as none
     private static final int LAG_MILLIS = 1500;  // between the first who has a view and the last: they ask twice a second
 
     private Play() { }
@@ -132,8 +133,8 @@
         for (String name : Draw.matching(Stage.names(plan), "gateway-*")) {
             gateways.put(name, Http.address(stage.reach(Stage.CLIENTS, name)));
         }
-        return new Load(stage.loadLoop(), gateways, new Dice(seed, "rate").in(plan.load().rate()), plan.load().keys(), seed,
-                history);
+        return new Load(stage.loadLoop(), gateways, new Dice(seed, "rate").in(plan.load().rate()), plan.load().keys(),
+                plan.load().fresh(), seed, history);
     }
 
     private static Duration ownCpu() {
@@ -170,6 +171,9 @@
             figures.put("requests", requests.size());
             figures.putAll(outcomes);
             figures.put("served_share", Math.round(1000.0 * outcomes.getOrDefault("served", 0) / requests.size()) / 1000.0);
+            figures.put("lost_by_time", requests.stream().filter(request -> request.end() - request.start()
+                    > (Load.DEADLINE_MILLIS + LOST_BEHIND_MILLIS) * 1000L).count());
+            figures.put("sent_again", requests.stream().filter(request -> request.text("before") != null).count());
             figures.put("late_share", Math.round(1000.0 * late / requests.size()) / 1000.0);
             figures.put("p50_ms", times.getValueAtPercentile(50) / 1000.0);
             figures.put("p99_ms", times.getValueAtPercentile(99) / 1000.0);
--- a/rig/src/main/java/mastdrift/rig/RigPlan.java
+++ b/rig/src/main/java/mastdrift/rig/RigPlan.java
@@ -21,8 +21,8 @@
         of our list service live without renewal, 0 for as long as nobody removes them. */
     record Hosts(int count, List<String> zones, int cores, Range workMs, long leaseMs) { }
 
-    /** Requests a second to all gateways together. */
-    record Load(Range rate, int keys) { }
+    /** Requests a second to all gateways together, and the share of them that come on a new connection and end it. */
+    record Load(Range rate, int keys, double fresh) { }
 
     /** Replicas of our list service, 0 for none. */
     record Registry(int replicas) { }
@@ -39,5 +39,6 @@
 
     /** A fault that seeds draw from; processes are named by patterns with a star. */
     record Trouble(Fault.Kind kind, String process, String from, String to, int pick, Range atS, Range forS, Link.Way way,
-            Range size, double spread, Fault.Back back, String when, double heal, int times) { }
+            Range size, double spread, Fault.Back back, String when, double heal, int times,
+            SystemCall systemCall) { }
 }
--- a/rig/src/main/java/mastdrift/rig/RulesCheck.java
+++ b/rig/src/main/java/mastdrift/rig/RulesCheck.java
@@ -34,6 +34,7 @@
         Map<String, Event> requests = new HashMap<>();
         history.events("request").forEach(event -> requests.put(event.text("trace"), event));
         lost(requests, troubles);
+        lostOnReuse(history, requests, troubles);
         duplicates(history, requests, troubles);
         drains(history, requests, troubles);
         history.events("fell").stream().filter(event -> troubles.stream().noneMatch(trouble ->
@@ -75,6 +76,26 @@
         }
     }
 
+    /** A client that loses a kept connection sends its request once more, since the gateway may not have read it. One that a
+        host had begun by then had been read. */
+    private void lostOnReuse(History history, Map<String, Event> requests, List<Trouble> troubles) {
+        Set<String> told = new HashSet<>();
+        for (Event begun : history.events("begin")) {
+            Event request = requests.get(begun.text("trace"));
+            String gateway = request == null ? null : request.text("before");
+            if (gateway == null || begun.start() >= request.number("cut_at", 0) || !told.add(begun.text("trace"))) {
+                continue;
+            }
+            boolean excused = troubles.stream().anyMatch(trouble -> trouble.overlaps(request.start(), request.end())
+                    && (trouble.kind.equals("kill") ? trouble.processes.contains(gateway)
+                            : trouble.processes.contains("clients") && trouble.others.contains(gateway)));
+            if (!excused) {
+                breaches.add("lost_request: " + begun.text("trace") + " was read by " + gateway
+                        + ", which ended its connection with no answer");
+            }
+        }
+    }
+
     private void duplicates(History history, Map<String, Event> requests, List<Trouble> troubles) {
         Map<String, List<Event>> begun = new HashMap<>();
         history.events("begin").forEach(event -> begun.computeIfAbsent(event.text("trace"), t -> new ArrayList<>()).add(event));
--- a/rig/src/main/java/mastdrift/rig/Saboteur.java
+++ b/rig/src/main/java/mastdrift/rig/Saboteur.java
@@ -105,6 +105,7 @@
             case DISK_FULL -> stage.hook(name, "disk full");
             case CLOCK_JUMP -> stage.hook(name, "jump " + fault.size());
             case CLOCK_RATE -> stage.hook(name, "rate " + fault.size());
+            case SYSTEM_CALL -> stage.systemCalls().begin(fault, name);
             default -> throw new IllegalStateException(fault.kind() + " is a fault of links");
         }
     }
@@ -158,6 +159,7 @@
                 }
             }
             case FREEZE -> program.wake();
+            case SYSTEM_CALL -> stage.systemCalls().end(fault, name);
             case REPLACE -> {
                 stage.meant(name, true);
                 program.kill();
--- a/rig/src/main/java/mastdrift/rig/Stage.java
+++ b/rig/src/main/java/mastdrift/rig/Stage.java
@@ -69,6 +69,7 @@
     private final Addresses addresses;
     private final Lists lists;
     private final Dice linkDice;
+    private final SystemCallFaults systemCalls;
 
     /** {@code folder} takes all files of this play. */
     Stage(RigPlan plan, long seed, Setting setting, int lane, Path folder, History history) throws IOException {
@@ -80,6 +81,7 @@
         this.folder = folder;
         this.history = history;
         linkDice = new Dice(seed, "links");
+        systemCalls = new SystemCallFaults(root, folder, seed);
         names.addAll(names(plan));
         Files.createDirectories(folder);
         Runtime.getRuntime().addShutdownHook(ender);
@@ -135,6 +137,10 @@
         return programs;
     }
 
+    SystemCallFaults systemCalls() {
+        return systemCalls;
+    }
+
     EventLoop loadLoop() {
         return loadLoop;
     }
@@ -461,8 +467,12 @@
         Path temporary = folder.resolve(name).resolve("data");
         List<String> command = setting.deployed() ? List.of("/bin/sh", "-c", run())
                 : java("-Xmx64m", "mastdrift.net.Main");
-        program(name, command, Map.of("NODE_CONFIG", config.toString(), "NODE_NAME", name,
+        Map<String, String> environment = new LinkedHashMap<>(Map.of("NODE_CONFIG", config.toString(), "NODE_NAME", name,
                 "NODE_LISTEN", own(name), "TMPDIR", temporary.toString()));
+        if (plan.faults().stream().anyMatch(trouble -> trouble.kind() == Fault.Kind.SYSTEM_CALL)) {
+            environment.putAll(systemCalls.environment(name));
+        }
+        program(name, command, environment);
     }
 
     /** What the deploy file says of {@code run}. */
--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/SystemCall.java
@@ -0,0 +1,85 @@
+package mastdrift.rig;
+
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * A system call that is to fail, or to behave as Linux documents but seldom shows.
+ *
+ * @param call which call
+ * @param error how it fails
+ * @param rate the probability that a call is affected, 0 to 1
+ * @param side on which connections; calls that have none are affected whatever it says
+ */
+record SystemCall(Call call, Error error, double rate, Side side) {
+
+    /** The ways in which calls fail; the last four are no values of errno. */
+    enum Error {
+        ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EINTR, EAGAIN, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH,
+        ECONNREFUSED, ETIMEDOUT, ECONNRESET, EPIPE, EINVAL, ENOTCONN, EIO, ENOSPC,
+        /** Moves at most as many bytes as the fault's size. */
+        SHORT,
+        /** End of stream. */
+        EOF,
+        /** Waits for the fault's size in milliseconds, then calls. */
+        DELAY,
+        /** The real-time clock is off by the fault's size in milliseconds. */
+        STEP
+    }
+
+    /** Connections that clients opened, connections that the process opened, or both. */
+    enum Side { CLIENT, UPSTREAM, ANY }
+
+    /** The calls that can be made to fail, each with the errors that its manual page documents. */
+    enum Call {
+        ACCEPT(Error.ECONNABORTED, Error.EMFILE, Error.ENFILE, Error.ENOBUFS, Error.ENOMEM, Error.EPROTO, Error.EINTR,
+                Error.EAGAIN),
+        SOCKET(Error.EMFILE, Error.ENFILE, Error.ENOBUFS, Error.ENOMEM),
+        CONNECT(Error.EADDRNOTAVAIL, Error.ENETUNREACH, Error.EHOSTUNREACH, Error.ECONNREFUSED, Error.ETIMEDOUT, Error.EINTR),
+        /** What a connect that went on in the background ends with. */
+        CONNECT_RESULT(Error.EADDRNOTAVAIL, Error.ENETUNREACH, Error.EHOSTUNREACH, Error.ECONNREFUSED, Error.ETIMEDOUT),
+        READ(Error.SHORT, Error.EAGAIN, Error.EINTR, Error.ECONNRESET, Error.ETIMEDOUT, Error.EHOSTUNREACH, Error.EOF),
+        WRITE(Error.SHORT, Error.EAGAIN, Error.EINTR, Error.EPIPE, Error.ECONNRESET, Error.ETIMEDOUT, Error.ENOBUFS,
+                Error.ENOMEM, Error.DELAY),
+        EPOLL_WAIT(Error.EINTR, Error.DELAY),
+        EVENTFD_READ(Error.EINTR, Error.EAGAIN),
+        EVENTFD_WRITE(Error.EINTR, Error.EAGAIN),
+        POLL(Error.EINTR),
+        SETSOCKOPT(Error.EINVAL, Error.ENOTCONN),
+        GETSOCKOPT(Error.EINVAL, Error.ENOTCONN),
+        SHUTDOWN(Error.ENOTCONN, Error.EIO),
+        CLOSE(Error.EINTR, Error.EIO),
+        OPEN(Error.EMFILE, Error.ENFILE, Error.EINTR, Error.EIO, Error.ENOSPC),
+        FSYNC(Error.EIO, Error.ENOSPC),
+        CLOCK(Error.STEP);
+
+        private final Set<Error> errors;
+
+        Call(Error first, Error... others) {
+            errors = EnumSet.of(first, others);
+        }
+
+        boolean fails(Error error) {
+            return errors.contains(error);
+        }
+
+        /** The names of its errors, for messages. */
+        String errorNames() {
+            return errors.stream().map(Error::name).collect(Collectors.joining(", "));
+        }
+    }
+
+    /** The error of that name, or null. */
+    static Error error(String name) {
+        return Arrays.stream(Error.values()).filter(error -> error.name().equals(name)).findAny().orElse(null);
+    }
+
+    /** The rule as the preloaded library reads it; the argument is the fault's size. */
+    String rule(long argument) {
+        return String.join(" ", call.name().toLowerCase(Locale.ROOT), error.name(), Double.toString(rate),
+                side.name().toLowerCase(Locale.ROOT), Long.toString(argument));
+    }
+}
--- a/rig/src/test/java/mastdrift/rig/LinkTest.java
+++ b/rig/src/test/java/mastdrift/rig/LinkTest.java
@@ -49,7 +49,7 @@
     }
 
     private static Fault fault(Fault.Kind kind, Link.Way way, double size) {
-        return new Fault(0, kind, 0, 0, List.of(), List.of(), way, size, 0, Fault.Back.KEEP, null, 1);
+        return new Fault(0, kind, 0, 0, List.of(), List.of(), way, size, 0, Fault.Back.KEEP, null, 1, null);
     }
 
     private Socket dial() throws IOException {
--- /dev/null
+++ b/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
@@ -0,0 +1,121 @@
+package mastdrift.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import mastdrift.common.TomlFile;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real gateways whose system calls fail. Each play is short; verdicts hang on what became of requests. */
+class SystemCallFaultsTest {
+
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+    private static final int GATEWAYS = 2;
+
+    @TempDir
+    private Path folder;
+
+    /** Hosts' links are refused now and then, so that gateways dial; part of the clients connect anew for each request. */
+    private Play.Outcome play(String faults) throws Exception {
+        RigPlan plan = PlanFile.parse("""
+                name = "system-calls"
+                seconds = 4
+                settle_s = 0
+                [gateways]
+                count = 2
+                [hosts]
+                count = 3
+                zones = ["a"]
+                cores = 4
+                [load]
+                rate = 120
+                fresh = 0.3
+                [[fault]]
+                kind = "refuse"
+                from = "gateway-*"
+                to = "host-*"
+                at_s = [0.5, 3]
+                for_s = 0.03
+                times = 4
+                """ + faults, "test.toml");
+        return Play.of(plan, 1, Draw.faults(plan, Stage.names(plan), 1), new Stage.Setting(ROOT, false, Variants.NONE), 0,
+                folder);
+    }
+
+    private static String fault(String call, String error, double rate, String side) {
+        return """
+                [[fault]]
+                kind = "system_call"
+                process = "gateway-*"
+                call = "%s"
+                error = "%s"
+                rate = %s
+                side = "%s"
+                size = 1
+                at_s = 0.5
+                for_s = 2.5
+                """.formatted(call, error, rate, side);
+    }
+
+    private long injected(int gateway, String call) throws Exception {
+        Path log = folder.resolve("gateway-" + gateway + ".faults.log");
+        return Files.readString(log, StandardCharsets.UTF_8).lines().filter(line -> line.contains(" " + call + " ")).count();
+    }
+
+    private String logOf(int gateway) throws Exception {
+        return Files.readString(folder.resolve("gateway-" + gateway).resolve("log.txt"), StandardCharsets.UTF_8);
+    }
+
+    private static void assertHeld(Play.Outcome outcome) {
+        assertTrue(outcome.held(), outcome.verdicts().toString());
+        assertTrue((Integer) outcome.figures().get("served") > 0, outcome.figures().toString());
+    }
+
+    /** For 2.5 s no connection can be accepted. Tries that are 1 s apart would be three at the most; some ms apart they are
+        hundreds, and ten on the slowest machine. */
+    @Test
+    void aFailedAcceptIsTriedAgainWithinMilliseconds() throws Exception {
+        Play.Outcome outcome = play(fault("accept", "ENFILE", 1, "any"));
+        assertHeld(outcome);
+        for (int gateway = 1; gateway <= GATEWAYS; gateway++) {
+            assertTrue(injected(gateway, "accept") >= 10, "tries: " + injected(gateway, "accept"));
+        }
+    }
+
+    @Test
+    void anInterruptedReadIsNoEndOfStream() throws Exception {
+        Play.Outcome outcome = play(fault("read", "EINTR", 0.2, "client"));
+        assertHeld(outcome);
+        assertTrue(injected(1, "read") > 0);
+        assertEquals(0, ((Number) outcome.figures().get("sent_again")).longValue(), outcome.figures().toString());
+    }
+
+    @Test
+    void anUnknownErrorIsNamedWithFileLineAndKey() {
+        TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> PlanFile.parse("""
+                [[fault]]
+                kind = "system_call"
+                process = "gateway-*"
+                call = "accept"
+                error = "ENOTCONN"
+                """, "odd.toml"));
+        assertTrue(faults.getMessage().contains("odd.toml:5: fault[0].error: expected one of ECONNABORTED"),
+                faults.getMessage());
+        faults = assertThrows(TomlFile.Faults.class, () -> PlanFile.parse("""
+                [[fault]]
+                kind = "system_call"
+                process = "gateway-*"
+                call = "acept"
+                error = "ENFILE"
+                """, "odd.toml"));
+        assertTrue(faults.getMessage().contains("odd.toml:4: fault[0].call: expected one of accept, socket"),
+                faults.getMessage());
+        assertFalse(faults.getMessage().contains("unknown key"), faults.getMessage());
+    }
+}
