--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -75,6 +75,8 @@
     static final WriteBufferWaterMark WRITE_SIZES = new WriteBufferWaterMark(16 << 10, 32 << 10);
     private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
     private static final long SWEEP_SPAN = 250_000;
+    // The platform may hold a gateway up for so long; a longer time is worth a line in the log.
+    private static final long HELD_UP_MOST = 150_000;
     // A drain has 4 s to leave no client here. New connections come until the front has heard: answers tell clients to
     // leave from then on, and what nobody asks on by the second moment is closed.
     private static final long DRAIN_CLOSING_MILLIS = 500;
@@ -100,6 +102,7 @@
     private boolean closing;  // each answer is the last on its connection
     private boolean drained;  // nobody should be here any more
     private Future<?> drain;
+    private long sweptAt;
     private Runnable stopped;
 
     /** Holds about {@code most} connections. */
@@ -236,16 +239,33 @@
 
     private void closeOverdue() {
         long now = gateway.now();
+        noteLateness(now);
         connections.all().forEach(connection -> connection.closeOverdue(now));
         connections.keep();  // whose bytes have been looked at since
     }
 
+    /** This task comes round at even spans: one that is longer was the loop's. */
+    private void noteLateness(long now) {
+        long late = sweptAt == 0 ? 0 : now - sweptAt - SWEEP_SPAN;
+        sweptAt = now;
+        if (late > HELD_UP_MOST) {
+            gateway.tally().add(Tally.Count.LOOP_LATE);
+            gateway.events().add(EventLog.Event.LOOP_LATE, "late_us", late);
+        }
+    }
+
     private void checkStopped() {
         if (stopped != null && connections.size() == 0) {
             stopped.run();
         }
     }
 
+    /** Why a connection ended before all that was read on it had its answer. */
+    private enum CloseReason {
+        /** The client ended it, or it broke. */
+        CLIENT, REQUEST_TOO_SLOW, REQUEST_BROKEN, ANSWER_BROKEN, ANSWER_NOT_TAKEN, MADE_ROOM, FAULT
+    }
+
     private record Arrived(FullHttpRequest message, Relay rest, long at) {
 
         /** Nobody takes it. */
@@ -284,6 +304,8 @@
         private String id;
         private boolean read;
         private boolean over;  // shut for writing: nothing is taken any more
+        private CloseReason reason = CloseReason.CLIENT;
+        private Throwable failure;  // of a read or write
         private long idleSince = gateway.now();
 
         Connection(Channel channel) {
@@ -316,7 +338,7 @@
 
         @Override
         public void close() {
-            channel.close();
+            close(CloseReason.MADE_ROOM);
         }
 
         @Override
@@ -338,7 +360,7 @@
                 end();
             } else if (arrival.begun() && (current == null || coming != null)
                     && arrival.overdue(now, asked ? 0 : idleSince, assembler.bytes())) {
-                channel.close();  // a part of a request is owed nothing
+                close(CloseReason.REQUEST_TOO_SLOW);  // a part of a request is owed nothing
             }
         }
 
@@ -363,8 +385,26 @@
             waiting.clear();
         }
 
+        /** Ends it at once, for a reason that is the gateway's. */
+        private void close(CloseReason why) {
+            reason = why;
+            channel.close();
+        }
+
+        private void noteEnd() {
+            if (exchange == null && waiting.isEmpty()) {
+                return;
+            }
+            if (reason != CloseReason.CLIENT) {
+                gateway.tally().add(Tally.Count.UNANSWERED);
+            }
+            gateway.events().add(EventLog.Event.CLIENT_GONE, "trace", id, "reason", reason, "cause", failure, "waiting",
+                    waiting.size());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            noteEnd();
             connections.gone(this);
             open.remove(id);
             drop();
@@ -412,7 +452,7 @@
                 coming = null;
                 arrival.end();
                 if (!whole) {
-                    channel.close();
+                    close(CloseReason.REQUEST_BROKEN);
                 }
             } else if (!over && (!read || requests.midway() || assembler.holds())) {
                 arrival.begin(gateway.now());
@@ -591,7 +631,7 @@
                 if (!told && !chunks) {  // an orderly close would pass for the answer's end
                     channel.config().setOption(ChannelOption.SO_LINGER, 0);
                 }
-                channel.close();
+                close(CloseReason.ANSWER_BROKEN);
             });
         }
 
@@ -624,7 +664,7 @@
         private void write(FullHttpResponse response, boolean close) {
             if (going != null) {  // there is a part of an answer out already
                 response.release();
-                channel.close();
+                close(CloseReason.ANSWER_BROKEN);
                 return;
             }
             boolean keep = !close && keeps();
@@ -656,6 +696,9 @@
             if (!clients && !(cause instanceof TimeoutException)) {
                 gateway.log("fault at a client's connection: " + cause);
             }
+            failure = cause;
+            reason = cause instanceof IOException ? CloseReason.CLIENT : cause instanceof TimeoutException
+                    ? CloseReason.ANSWER_NOT_TAKEN : CloseReason.FAULT;
             context.close();
         }
     }
--- a/src/main/java/mastdrift/net/Figures.java
+++ b/src/main/java/mastdrift/net/Figures.java
@@ -31,9 +31,20 @@
                 tally.sum(Tally.Count.RELOADS_OK));
         figure(text, "reloads_failed_total", "counter", "Configurations that were not taken at SIGHUP.",
                 tally.sum(Tally.Count.RELOADS_FAILED));
+        count(text, tally, Tally.Count.ACCEPTS_FAILED, "Calls to accept that failed.");
+        count(text, tally, Tally.Count.HOST_DIALS_FAILED, "Connections to hosts that did not come up.");
+        count(text, tally, Tally.Count.WRITES_DEFERRED, "Writes that met a shortage of the system's and were made again.");
+        count(text, tally, Tally.Count.UNANSWERED, "Clients' connections that were ended with a request open.");
+        count(text, tally, Tally.Count.DEPARTED, "Requests whose client went away first.");
+        count(text, tally, Tally.Count.LOOP_LATE, "Times that the event loop was late by over 0.15 s.");
+        count(text, tally, Tally.Count.OFF_LOOP, "Callbacks on a wrong thread.");
         return text.toString();
     }
 
+    private static void count(StringBuilder text, Tally tally, Tally.Count count, String help) {
+        figure(text, count.name().toLowerCase(Locale.ROOT) + "_total", "counter", help, tally.sum(count));
+    }
+
     private static void figure(StringBuilder text, String name, String type, String help, long value) {
         head(text, name, type, help);
         text.append(PREFIX).append(name).append(' ').append(value).append('\n');
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -68,6 +68,7 @@
         private final Client client;
         private final String className;
         private final FullHttpRequest message;
+        private final String trace;
         private final Relay rest;  // of its body, null where the message is whole
         private final long kept;
         private final List<HostPool.Attempt> attempts = new ArrayList<>(2);
@@ -84,6 +85,7 @@
             this.client = client;
             this.className = className;
             this.message = message;
+            trace = message.headers().get("X-Trace-Id");
             this.rest = rest;
             this.kept = kept;
             coming = rest != null;
@@ -142,6 +144,7 @@
     private final Discovery discovery;
     private final Settings settings;
     private final Tally tally;
+    private final EventLog log;
     private final int openMost;
     private final Map<Long, Exchange> ledger = new HashMap<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
@@ -163,10 +166,11 @@
         this.tally = tally;
         this.module = module;
         this.out = out;
+        log = new EventLog(this::now, this::log);
         settings = config.settings();
         this.openMost = Math.min(openMost, settings.limits().maxOpen());
         hosts = new HostPool(loop, this::now, settings.links().dialTimeout(), settings.links().idle(),
-                settings.rules().drainGrace(), hostConnections, tally, this::log);
+                settings.rules().drainGrace(), hostConnections, tally, log);
         discovery = new Discovery(loop, config.discovery(), config.known().rev(),
                 list -> learn(list, list.all() ? ListForm.FULL : ListForm.DELTA), this::listFailed);
         Periodic.every(loop, TALLY_SPAN, this::logTally, this::log);
@@ -190,6 +194,11 @@
         return startedAt + nanoTime.getAsLong() / 1000;
     }
 
+    /** What is out of the ordinary; the clients' side adds its part. */
+    EventLog events() {
+        return log;
+    }
+
     /** What is counted for the log; the clients' side adds its part. */
     Tally tally() {
         return tally;
@@ -233,6 +242,10 @@
     // ---- events: one after the other, never one inside another
 
     private void event(Exchange exchange, LongConsumer event) {
+        if (!loop.inEventLoop()) {
+            tally.add(Tally.Count.OFF_LOOP);
+            log.add(EventLog.Event.OFF_LOOP, "thread", Thread.currentThread().getName());
+        }
         events.add(() -> {
             try {
                 event.accept(now());
@@ -315,12 +328,18 @@
         if (!exchange.ended) {
             tally.add(Tally.Count.OVERDUE);
             finish(exchange);
-            tally.add(exchange.className, Tally.Ended.FAILED);
+            failed(exchange, "overdue");
             exchange.client.failed(true);
             event(null, now -> module.departed(now, exchange.id));
         }
     }
 
+    private void failed(Exchange exchange, String reason) {
+        tally.add(exchange.className, Tally.Ended.FAILED);
+        log.add(EventLog.Event.REQUEST_FAILED, "trace", exchange.trace, "class", exchange.className, "reason", reason,
+                "attempts", exchange.attempts.size(), "late_us", Math.max(0, now() - exchange.due));
+    }
+
     private void finish(Exchange exchange) {
         exchange.ended = true;
         exchange.backstop.cancel(false);
@@ -347,6 +366,10 @@
             FullHttpResponse answer, LoadReport report) {
         exchange.late = outcome == Outcome.EXPIRED;
         tally.add(outcome);
+        if (outcome != Outcome.DELIVERED && !exchange.ended) {
+            log.add(EventLog.Event.ATTEMPT_FAILED, "trace", exchange.trace, "attempt", number, "host", uid, "outcome", outcome,
+                    "after_us", elapsed);
+        }
         if (outcome == Outcome.DELIVERED && !exchange.ended && !exchange.begun) {
             finish(exchange);
             tally.add(exchange.className, Tally.Ended.SERVED);
@@ -488,6 +511,8 @@
         if (exchange != null && !exchange.ended && !exchange.begun) {
             finish(exchange);
             tally.add(exchange.className, Tally.Ended.REFUSED);
+            log.add(EventLog.Event.REQUEST_REFUSED, "trace", exchange.trace, "class", exchange.className, "attempts",
+                    exchange.attempts.size());
             exchange.client.refused(retryAfter);
         }
     }
@@ -497,7 +522,7 @@
         Exchange exchange = ledger.get(id);
         if (exchange != null && !exchange.ended && !exchange.begun) {
             finish(exchange);
-            tally.add(exchange.className, Tally.Ended.FAILED);
+            failed(exchange, exchange.late ? "attempt_late" : "no_further_attempt");
             exchange.client.failed(exchange.late);
         }
     }
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -39,7 +39,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
@@ -107,18 +106,18 @@
     private final int most;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Tally tally;
-    private final Consumer<String> faults;
+    private final EventLog log;
     private int connections;
 
     /** Holds {@code most} connections; spans are in microseconds. */
     HostPool(EventLoop loop, LongSupplier clock, long dialTimeout, long idle, long grace, int most, Tally tally,
-            Consumer<String> faults) {
+            EventLog log) {
         this.loop = loop;
         this.clock = clock;
         this.grace = Math.max(0, grace - GRACE_SPARE);
         this.most = most;
         this.tally = tally;
-        this.faults = faults;
+        this.log = log;
         idleMost = (long) (idle * IDLE_PART);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -135,7 +134,7 @@
                     }
                 });
         long sweep = Math.min(idleMost / 8 + 1, 1_000_000);
-        Periodic.every(loop, sweep, this::closeAged, faults);
+        Periodic.every(loop, sweep, this::closeAged, log::fault);
     }
 
     /** Hosts that leave, are gone or have started anew lose their idle connections at once. */
@@ -222,6 +221,9 @@
         attempt.channel = dialled.channel();
         dialled.addListener(done -> {
             if (!done.isSuccess()) {
+                tally.add(Tally.Count.HOST_DIALS_FAILED);
+                log.add(EventLog.Event.DIAL_FAILED, "at", at, "cause", done.cause(), "thread", loop.inEventLoop() ? null
+                        : Thread.currentThread().getName());
                 connections--;  // here: where no descriptor was left there is no channel that would close
                 attempt.end(Outcome.DIAL_FAILED, null);
                 return;
@@ -276,7 +278,7 @@
     /** This gateway is about to end, and its successor opens connections already: both have one bound on them. */
     void retire() {
         idleMost = Math.min(idleMost, RETIRED_IDLE);
-        Periodic.every(loop, RETIRED_SWEEP, this::closeAged, faults);
+        Periodic.every(loop, RETIRED_SWEEP, this::closeAged, log::fault);
     }
 
     void closeIdle(String uid) {
@@ -678,7 +680,9 @@
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException || cause instanceof DecoderException
                     || cause instanceof PrematureChannelClosureException)) {
-                faults.accept("fault at a host's connection: " + cause);
+                log.fault("fault at a host's connection: " + cause);
+            } else if (attempt != null) {
+                log.add(EventLog.Event.UPSTREAM_FAILED, "at", at, "cause", cause, "written", attempt.written);
             }
             context.close();
         }
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -149,6 +149,7 @@
 
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
     private static void stop(EventLoop loop, ClientSide clients) {
+        System.out.println("stopping");
         CountDownLatch answered = new CountDownLatch(1);
         loop.execute(() -> clients.stop(answered::countDown));
         try {
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -64,7 +64,8 @@
 
     private HostPool pool(int most) throws Exception {
         return onLoop(() -> {
-            HostPool pool = new HostPool(loop, clock::get, DIAL, IDLE, GRACE, most, new Tally(List.of()), line -> { });
+            HostPool pool = new HostPool(loop, clock::get, DIAL, IDLE, GRACE, most, new Tally(List.of()),
+                    new EventLog(clock::get, line -> { }));
             update(pool, list(1, true, entry("s1", one.address(), "a", "in_service"),
                     entry("s2", two.address(), "a", "in_service")));
             return pool;
