Tell of every dial on the event loop, and dial again where this machine lacked something

Where socket() fails the library has no channel and reports on a thread of its own, so that attempts, the ledger and the decision module were changed by two threads at once; the same for a channel whose setup fails. Dialer hands every end to the loop. A local failure (no descriptor, port, buffer or route) says nothing of the host: it is tried again for 0.1 s.

--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -74,7 +73,7 @@
         Channel before = watch;
         watch = null;
         if (before != null) {
-            before.close();
+            Dialer.close(before);
         }
         if (active) {
             watch = call("/v1/endpoints?watch=1&from=" + rev, true);
@@ -86,7 +85,7 @@
         Channel before = fetch;
         fetch = null;
         if (before != null) {
-            before.close();
+            Dialer.close(before);
         }
         fetch = call("/v1/endpoints", false);
     }
@@ -111,24 +110,29 @@
     }
 
     private Channel call(String path, boolean watching) {
-        ChannelFuture dialled = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, moving() ? MOVE_DIAL_MILLIS : DIAL_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(), new Call(watching));
                     }
-                }).connect(at);
-        dialled.addListener(done -> {
-            if (done.isSuccess()) {
+                });
+        Channel[] dialled = new Channel[1];
+        dialled[0] = Dialer.dial(bootstrap, loop, at, new Dialer.Result() {
+            @Override
+            public void connected(Channel channel) {
                 DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
                 request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(at));
-                dialled.channel().writeAndFlush(request);
-            } else {
-                failed(dialled.channel(), watching, "no connection");
+                channel.writeAndFlush(request);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                Discovery.this.failed(dialled[0], watching, "no connection: " + cause.getMessage());
             }
         });
-        return dialled.channel();
+        return dialled[0];
     }
 
     private boolean replaced(Channel channel, boolean watching) {
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -62,6 +61,9 @@
     // A gateway that leaves beside its successor keeps connections for so long, and looks so often.
     private static final long RETIRED_IDLE = 100_000;
     private static final long RETIRED_SWEEP = 50_000;
+    // A dial that fails for a reason of this machine's is made again, so often and after such a pause: for a tenth of a second.
+    private static final int LOCAL_TRIES = 10;
+    private static final long LOCAL_RETRY_MILLIS = 10;
     private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
     // A second answer may come some milliseconds behind the first, and would pass for that to the next request: where a host
     // has been seen to send such a stray, its connections rest for a while behind each answer.
@@ -119,7 +121,7 @@
         this.tally = tally;
         this.log = log;
         idleMost = (long) (idle * IDLE_PART);
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, ClientSide.readSizes())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientSide.WRITE_SIZES)
@@ -206,39 +208,56 @@
             tally.add(Tally.Count.HOST_NO_ROOM);
             attempt.end(Outcome.DIAL_FAILED, null);
         } else {
-            dial(peer, attempt);
+            dial(peer, attempt, 1);
         }
         return attempt;
     }
 
-    private void dial(Peer peer, Attempt attempt) {
+    private void dial(Peer peer, Attempt attempt, int tries) {
         InetSocketAddress at = peer.at;
         long born = peer.born;
         connections++;
         tally.add(Tally.Count.HOST_DIALS);
         tally.level(Tally.Level.HOST_CONNECTIONS, connections);
-        ChannelFuture dialled = bootstrap.connect(at);
-        attempt.channel = dialled.channel();
-        dialled.addListener(done -> {
-            if (!done.isSuccess()) {
-                tally.add(Tally.Count.HOST_DIALS_FAILED);
-                log.add(EventLog.Event.DIAL_FAILED, "at", at, "cause", done.cause(), "thread", loop.inEventLoop() ? null
-                        : Thread.currentThread().getName());
-                connections--;  // here: where no descriptor was left there is no channel that would close
-                attempt.end(Outcome.DIAL_FAILED, null);
-                return;
+        attempt.channel = Dialer.dial(bootstrap, loop, at, new Dialer.Result() {
+            @Override
+            public void connected(Channel channel) {
+                channel.closeFuture().addListener(closed -> connections--);
+                if (!attempt.over) {
+                    Connection connection = channel.pipeline().get(Connection.class);
+                    connection.peer = peer;
+                    connection.at = at;
+                    connection.born = born;
+                    connection.writeLate(attempt);
+                }
             }
-            dialled.channel().closeFuture().addListener(closed -> connections--);
-            if (!attempt.over) {
-                Connection connection = dialled.channel().pipeline().get(Connection.class);
-                connection.peer = peer;
-                connection.at = at;
-                connection.born = born;
-                connection.writeLate(attempt);
+
+            @Override
+            public void failed(Throwable cause) {
+                connections--;  // here: where no descriptor was left there is no channel that would close
+                tally.add(Tally.Count.HOST_DIALS_FAILED);
+                log.add(EventLog.Event.DIAL_FAILED, "at", at, "cause", cause, "tries", tries);
+                if (Dialer.isLocal(cause) && tries < LOCAL_TRIES) {
+                    loop.schedule(() -> dialAgain(peer, attempt, tries + 1), LOCAL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                } else {
+                    attempt.end(Outcome.DIAL_FAILED, null);
+                }
             }
         });
     }
 
+    /** The machine lacked something for a moment, of which the host knows nothing; the attempt may have ended meanwhile. */
+    private void dialAgain(Peer peer, Attempt attempt, int tries) {
+        if (attempt.over) {
+            return;
+        }
+        if (clock.getAsLong() < peer.sendUntil && connections < most) {
+            dial(peer, attempt, tries);
+        } else {
+            attempt.end(Outcome.DIAL_FAILED, null);
+        }
+    }
+
     private Connection takeIdle(Peer peer) {
         long now = clock.getAsLong();
         long least = now < peer.strayUntil ? STRAY_REST : 0;
@@ -366,7 +385,7 @@
                 if (assembler != null) {
                     assembler.breakOff();  // or the close might pass for the end of an answer that is told by it
                 }
-                channel.close();
+                Dialer.close(channel);
             }
         }
 
--- /dev/null
+++ b/src/test/java/mastdrift/net/DialerTest.java
@@ -0,0 +1,86 @@
+package mastdrift.net;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.BindException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.ServerSocket;
+import java.net.SocketException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class DialerTest {
+
+    private record Told(Throwable cause, boolean onLoop) { }
+
+    private static Told dial(io.netty.channel.ChannelFactory<Channel> channels, InetSocketAddress at) throws Exception {
+        EventLoop loop = Main.loop();
+        try {
+            Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(channels)
+                    .handler(new ChannelInboundHandlerAdapter());
+            CompletableFuture<Told> told = new CompletableFuture<>();
+            loop.execute(() -> {
+                Channel dialled = Dialer.dial(bootstrap, loop, at, new Dialer.Result() {
+                    @Override
+                    public void connected(Channel channel) {
+                        told.complete(new Told(null, loop.inEventLoop()));
+                    }
+
+                    @Override
+                    public void failed(Throwable cause) {
+                        told.complete(new Told(cause, loop.inEventLoop()));
+                    }
+                });
+                assertFalse(told.isDone(), "told within the call");
+                if (!dialled.isOpen()) {
+                    Dialer.close(dialled);
+                }
+            });
+            return told.get(Loopback.WAIT_SECONDS, TimeUnit.SECONDS);
+        } finally {
+            loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
+    /** As where the process has no descriptor left. */
+    @Test
+    void thatNoSocketCanBeMadeIsToldOnTheEventLoop() throws Exception {
+        Told told = dial(() -> {
+            throw new ChannelException("no descriptor left");
+        }, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+        assertTrue(told.onLoop);
+        assertTrue(Dialer.isLocal(told.cause), told.cause.toString());
+    }
+
+    @Test
+    void aConnectionAndARefusalAreToldOnTheEventLoop() throws Exception {
+        ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        InetSocketAddress at = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        Told up = dial(NioSocketChannel::new, at);
+        assertTrue(up.onLoop && up.cause == null);
+        server.close();
+        Told refused = dial(NioSocketChannel::new, at);
+        assertTrue(refused.onLoop);
+        assertFalse(Dialer.isLocal(refused.cause), refused.cause.toString());
+    }
+
+    @Test
+    void onlyWhatThisMachineLacksIsLocal() {
+        assertTrue(Dialer.isLocal(new BindException("Cannot assign requested address")));
+        assertTrue(Dialer.isLocal(new SocketException("Network is unreachable")));
+        assertTrue(Dialer.isLocal(new ChannelException("Failed to open a socket.")));
+        assertFalse(Dialer.isLocal(new ConnectException("Connection refused")));
+        assertFalse(Dialer.isLocal(new NoRouteToHostException("No route to host")));
+    }
+}
