Accept again 5 ms after a failed call, also while the queue is emptied at a stop

Root cause of the incident: the library's acceptor rests for a second after each failed accept (ENFILE, ENOBUFS, EPROTO), so that who waits in the queue is answered far behind its time, and a failure at a stop left the queue to be reset. Listener owns whether it accepts, tells each failure and tries again 5 ms later; operators' calls use it too.

--- a/src/main/java/mastdrift/net/Admin.java
+++ b/src/main/java/mastdrift/net/Admin.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -55,7 +54,8 @@
     /** Answers from now on; throws IllegalArgumentException for an address that can't be listened on. */
     static Admin open(InetSocketAddress at, EventLoop loop, Life life, Tally tally) {
         Admin admin = new Admin(loop, life, tally);
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop)
+                .channelFactory(() -> new Listener(failure -> { }))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)  // a pool costs MBs a thread
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -130,13 +130,13 @@
     }
 
     ChannelFuture listen(InetSocketAddress at) {
-        return listening(bootstrap().channelFactory(Listener::new).bind(at));
+        return listening(bootstrap().channelFactory(() -> new Listener(this::acceptFailed)).bind(at));
     }
 
     /** Accepts from a socket that others listen on as well, before and after this gateway. */
     ChannelFuture accept(ServerSocketChannel passed) {
         shared = true;
-        return listening(bootstrap().channelFactory(() -> new Listener(passed)).register());
+        return listening(bootstrap().channelFactory(() -> new Listener(passed, this::acceptFailed)).register());
     }
 
     private ChannelFuture listening(ChannelFuture begun) {
@@ -146,7 +146,12 @@
     }
 
     private void acceptMore(boolean wanted) {
-        server.config().setAutoRead(wanted && accepting);
+        server.accept(wanted && accepting);
+    }
+
+    private void acceptFailed(Exception cause) {
+        gateway.tally().add(Tally.Count.ACCEPTS_FAILED);
+        gateway.events().add(EventLog.Event.ACCEPT_FAILED, "cause", cause);
     }
 
     static AdaptiveRecvByteBufAllocator readSizes() {
@@ -206,7 +211,7 @@
             // Whoever comes next is the successor's. Not closed: the virtual machine would lead the log to nowhere.
             closing = true;
             accepting = false;
-            server.config().setAutoRead(false);
+            server.accept(false);
             gateway.retire();
         } else {
             loop.schedule(() -> server.closeBehindTheLast(connections.room()), STOP_ACCEPTING_MILLIS,
