Don't take an interrupted read for the end of a stream, nor a short of buffers for a break

The JDK tells of EINTR in a read by -3, which the library takes for the end: the client's connection was closed with its request open. A write that met ENOBUFS or ENOMEM closed it too. TcpChannel reads on, and writes again 2 ms later; a new connection whose options can't be read for a moment is adopted all the same.

--- a/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
+++ b/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
@@ -96,6 +96,14 @@
         assertEquals(0, ((Number) outcome.figures().get("sent_again")).longValue(), outcome.figures().toString());
     }
 
+    @Test
+    void aWriteThatMeetsAShortageIsMadeAgain() throws Exception {
+        Play.Outcome outcome = play(fault("write", "ENOBUFS", 0.1, "any"));
+        assertHeld(outcome);
+        assertTrue(injected(1, "write") > 0);
+        assertTrue(logOf(1).contains("event=write_deferred"));
+    }
+
     @Test
     void anUnknownErrorIsNamedWithFileLineAndKey() {
         TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> PlanFile.parse("""
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -468,6 +468,10 @@
         /** A client that waits to be asked for its body is asked in its turn, unless it is not to be sent. */
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event == TcpChannel.WriteDeferred.INSTANCE) {
+                gateway.tally().add(Tally.Count.WRITES_DEFERRED);
+                gateway.events().add(EventLog.Event.WRITE_DEFERRED, "trace", id);
+            }
             if (event == Assembler.Event.EXPECTS) {
                 expects = true;
                 askForBody();
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -110,7 +109,7 @@
     }
 
     private Channel call(String path, boolean watching) {
-        Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
+        Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(TcpChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, moving() ? MOVE_DIAL_MILLIS : DIAL_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -121,7 +120,7 @@
         this.tally = tally;
         this.log = log;
         idleMost = (long) (idle * IDLE_PART);
-        bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
+        bootstrap = new Bootstrap().group(loop).channelFactory(TcpChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, ClientSide.readSizes())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientSide.WRITE_SIZES)
@@ -685,6 +684,14 @@
             };
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event == TcpChannel.WriteDeferred.INSTANCE) {
+                tally.add(Tally.Count.WRITES_DEFERRED);
+                log.add(EventLog.Event.WRITE_DEFERRED, "at", at);
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (attempt != null) {
--- a/src/main/java/mastdrift/net/Listener.java
+++ b/src/main/java/mastdrift/net/Listener.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.ChannelException;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -67,7 +66,7 @@
         if (accepted == null) {
             return 0;
         }
-        into.add(new NioSocketChannel(this, accepted));
+        into.add(TcpChannel.accepted(this, accepted));
         return 1;
     }
 
