Read on where a turn of the loop may have left a client's departure unread

A turn reads 16 times; with short reads the request's end lies within and the client's departure behind it, so that an attempt began for who had gone. What such a turn read waits for the next one, 1 ms at the most.

--- a/src/main/java/mastdrift/net/ReadAhead.java
+++ b/src/main/java/mastdrift/net/ReadAhead.java
@@ -8,6 +8,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /** Reads a client's connection, and sees to it that a departure is heard before anything is done for who has gone: it lies
@@ -21,6 +22,7 @@
     private static final int TURN_MOST = 32 << 10;
     // Of one connection, where the pieces are small: a client that never stops sending must not keep the loop.
     private static final int TURN_READS = 16;
+    private static final long NEXT_TURN_MILLIS = 1;
     // Of one connection whose reader pauses.
     private static final int AHEAD_MOST = 1 << 20;
 
@@ -48,6 +50,7 @@
     private boolean paused;
     private boolean dropping;
     private boolean due;
+    private int reads;  // in this turn of the loop
 
     /** Sizes of reads on such a connection, for a channel's options: a turn of the loop reads on until there is nothing more,
         by which it meets an end that lies behind what has come. The loop may have been late, so that both are there. */
@@ -98,6 +101,7 @@
             return;
         }
         ByteBuf bytes = paused ? compact((ByteBuf) message) : (ByteBuf) message;
+        reads++;
         held.add(bytes);
         count(bytes.capacity());
         pace();
@@ -115,7 +119,15 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext from) {
-        passOnSoon();
+        boolean mayBeMore = reads >= TURN_READS;
+        reads = 0;
+        if (mayBeMore && !paused && !due && size < TURN_MOST) {
+            // Small pieces: the next turn reads on, and what it meets belongs to this. Where there is nothing more, no turn
+            // tells so.
+            from.channel().eventLoop().schedule(this::passOnSoon, NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            passOnSoon();
+        }
     }
 
     @Override
