Place hosts' starts once, and take the younger age where the clock was stepped

A host's start was compared by Unix times: behind a step back by an hour a new start looked older than the one before and passed for no start at all; behind a step forward a cold host looked warm. HostStarts keeps them on the gateway's steady clock; a start that contradicts the list of a moment before counts as now, and is logged.

--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -156,6 +156,7 @@
     private int incoming;  // of those that are open: requests of which a rest is to come, not taken before
     private final LongSupplier nanoTime;
     private final long startedAt;
+    private final HostStarts starts;
 
     /** Starts the module; on the loop's thread. The clock runs in nanoseconds from any origin. */
     Gateway(Config config, EventLoop loop, LongSupplier nanoTime, Balancer module, Tally tally, int hostConnections,
@@ -167,6 +168,8 @@
         this.module = module;
         this.out = out;
         log = new EventLog(this::now, this::log);
+        starts = new HostStarts(this::now, () -> System.currentTimeMillis() * 1000,
+                () -> log.add(EventLog.Event.CLOCK_STEPPED, "unix_ms", System.currentTimeMillis(), "steady_ms", now() / 1000));
         settings = config.settings();
         this.openMost = Math.min(openMost, settings.limits().maxOpen());
         hosts = new HostPool(loop, this::now, settings.links().dialTimeout(), settings.links().idle(),
@@ -272,7 +275,11 @@
         }
     }
 
-    private void learn(HostList list, ListForm form) {
+    private void learn(HostList told, ListForm form) {
+        HostList list = told.withStarts(starts::place);
+        if (form != ListForm.CACHED) {
+            starts.heard();
+        }
         hosts.update(list);
         tally.set(Tally.Gauge.HOSTS_KNOWN, hosts.known());
         log("list " + list.rev() + ": " + list.entries().size() + (list.all() ? " hosts" : " changes"));
--- a/src/main/java/mastdrift/net/HostList.java
+++ b/src/main/java/mastdrift/net/HostList.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongBiFunction;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
 
@@ -38,13 +39,22 @@
         if (uid.isEmpty()) {
             throw new IllegalArgumentException("expected a uid");
         }
-        // Starts are told in Unix time, as which the gateway's clock began: see Gateway.now.
+        // In Unix time, which Gateway.learn moves to the gateway's own clock.
         long born = Math.multiplyExact(number(target, "boot_ms", 0).longValue(), 1000L);
         return new Entry(new Host(uid, Config.text(target, "az"), number(target, "pod_group", 0).intValue(),
                 Config.text(target, "model"), number(target, "capacity_hint", 1).doubleValue(), health, born),
                 Config.address(Config.text(target, "endpoint")));
     }
 
+    /** The same with hosts' starts on another clock. */
+    HostList withStarts(ToLongBiFunction<String, Long> place) {
+        return new HostList(rev, all, entries.stream().map(entry -> {
+            Host host = entry.host;
+            return new Entry(new Host(host.address(), host.zone(), host.cell(), host.kind(), host.weight(), host.health(),
+                    place.applyAsLong(host.address(), host.born())), entry.at);
+        }).toList());
+    }
+
     private static Number number(Map<?, ?> target, String name, int otherwise) {
         return target.get(name) instanceof Number given ? given : otherwise;
     }
