Leave 0.3 s of a drain's grace for a late loop and a hold-up before the write

Late connections were written to up to 50 ms before the end of the grace, while the platform may hold a process up for 0.15 s between the clock and the write, and the list may have waited as long. HostPoolTest passed.

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -48,8 +48,9 @@
     static final String EXPIRES = "X-Expires-In-Ms";
     // Of the time after which hosts close idle connections: a request written in the rest might meet that close.
     private static final double IDLE_PART = 0.8;
-    // A first byte may leave later than it was written: drains are kept with this to spare.
-    private static final long GRACE_SPARE = 50_000;
+    // The platform may hold the process up for 0.15 s between a look at the clock and a write, and a list may have waited as
+    // long before it was read: drains are kept with this to spare.
+    private static final long GRACE_SPARE = 300_000;
     // Of an answer that is held whole, the next piece comes at once but for a lost packet, which is sent again after
     // 200 ms: one that stalls for longer won't end.
     private static final long STALL = 250_000;
