Take the newest configuration behind a series of SIGHUPs, and read one again that failed

Each signal is handled on a thread of its own: two could hand over what they read in the other order, so that the older address of discovery held. A file that could not be read for a moment (EMFILE, EIO, half written) was never read again. A wake-up of the loop that fails (eventfd) ended the stop's hook, and with it the process; the task is in the queue all the same.

--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -44,7 +44,8 @@
         Life life = new Life();
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         // First of all, or the signal would end the program. One that comes during the start is heard after it.
-        onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
+        CompletableFuture<Reloader> reloader = started.thenApply(gateway -> reloader(gateway, loop));
+        onHangUp(() -> reloader.thenAccept(Reloader::signalled));
         try {
             Config config = Config.read(System.getenv());
             ServerSocketChannel passed = config.passedSocket() ? passed() : null;
@@ -78,14 +79,23 @@
     }
 
     /** Takes from the configuration where discovery is; one that can't be read changes nothing. */
-    private static void reload(Gateway gateway, EventLoop loop) {
-        try {
-            InetSocketAddress discovery = Config.discovery(System.getenv());
+    private static Reloader reloader(Gateway gateway, EventLoop loop) {
+        return new Reloader(() -> Config.discovery(System.getenv()), discovery -> {
             gateway.tally().add(Tally.Count.RELOADS_OK);
-            loop.execute(() -> gateway.discoverAt(discovery));
-        } catch (IllegalArgumentException e) {
+            handOver(loop, () -> gateway.discoverAt(discovery));
+        }, cause -> {
             gateway.tally().add(Tally.Count.RELOADS_FAILED);
-            System.out.println("configuration not taken: " + e.getMessage());
+            System.out.println("configuration not taken: " + cause);
+        });
+    }
+
+    /** Has the loop do it. Where the system fails to wake the loop up, the task is in its queue all the same, and is done as
+        soon as the loop turns by itself. */
+    private static void handOver(EventLoop loop, Runnable task) {
+        try {
+            loop.execute(task);
+        } catch (InternalError notWoken) {
+            System.out.println("the event loop was not woken: " + notWoken.getMessage());
         }
     }
 
@@ -151,7 +161,7 @@
     private static void stop(EventLoop loop, ClientSide clients) {
         System.out.println("stopping");
         CountDownLatch answered = new CountDownLatch(1);
-        loop.execute(() -> clients.stop(answered::countDown));
+        handOver(loop, () -> clients.stop(answered::countDown));
         try {
             boolean all = answered.await(STOP_SECONDS, TimeUnit.SECONDS);
             System.out.println(all ? "stopped" : "stopped with requests unanswered");
