--- a/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
+++ b/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import mastdrift.common.TomlFile;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -104,6 +105,33 @@
         assertTrue(logOf(1).contains("event=write_deferred"));
     }
 
+    /** Options that can't be set or read, calls that are interrupted, moved in pieces, or met by nothing though ready. */
+    @Test
+    void callsThatSayNothingOfAConnectionEndNone() throws Exception {
+        Play.Outcome outcome = play(fault("setsockopt", "EINVAL", 0.3, "any") + fault("getsockopt", "EINVAL", 0.3, "any")
+                + fault("read", "SHORT", 0.5, "any") + fault("read", "EAGAIN", 0.2, "any") + fault("write", "SHORT", 0.5, "any")
+                + fault("write", "EINTR", 0.2, "any") + fault("epoll_wait", "EINTR", 0.3, "any")
+                + fault("accept", "EINTR", 0.3, "any") + fault("accept", "ECONNABORTED", 0.3, "any")
+                + fault("connect", "EINTR", 0.3, "any") + fault("poll", "EINTR", 0.3, "any"));
+        assertHeld(outcome);
+        for (String call : List.of("setsockopt", "getsockopt", "read", "write", "epoll_wait", "accept", "connect")) {
+            assertTrue(injected(1, call) > 0, call);
+        }
+        assertEquals(0, ((Number) outcome.figures().get("sent_again")).longValue(), outcome.figures().toString());
+    }
+
+    /** No socket, no address, no route: requests are answered all the same, and nothing runs on a wrong thread. */
+    @Test
+    void dialsThatFailAtOnceLoseNoRequest() throws Exception {
+        Play.Outcome outcome = play(fault("socket", "ENFILE", 0.3, "any") + fault("connect", "EADDRNOTAVAIL", 0.2, "any")
+                + fault("connect", "ENETUNREACH", 0.2, "any") + fault("connect_result", "EHOSTUNREACH", 0.2, "any"));
+        assertHeld(outcome);
+        assertTrue(injected(1, "socket") > 0 && injected(1, "connect") > 0);
+        for (int gateway = 1; gateway <= GATEWAYS; gateway++) {
+            assertFalse(logOf(gateway).contains("event=off_loop"), logOf(gateway));
+        }
+    }
+
     @Test
     void anUnknownErrorIsNamedWithFileLineAndKey() {
         TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> PlanFile.parse("""
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -40,6 +40,8 @@
         // The library logs a failed accept; out of descriptors the log's own files can't be opened, and the error that
         // comes of it would end the loop's thread and with it the gateway.
         LIBRARY_LOG.setLevel(Level.OFF);
+        // A connection whose options can't be set is as good as another, and its client's request is owed an answer.
+        System.setProperty("io.netty.bootstrap.closeOnSetOptionFailure", "false");
         EventLoop loop = loop();
         Life life = new Life();
         CompletableFuture<Gateway> started = new CompletableFuture<>();
