Count time in the accept queue during a pause against a connection's first request

Listener knows since when the queue was not met; what goes beyond 50 ms of that is taken off. ListenerTest, EndingsTest and ServingTest passed.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -77,6 +77,8 @@
     private static final long SWEEP_SPAN = 250_000;
     // The platform may hold a gateway up for so long; a longer time is worth a line in the log.
     private static final long HELD_UP_MOST = 150_000;
+    // So much may a host be told beyond what is left to the client; the platform's slack is 0.15 s.
+    private static final long QUEUED_SLACK = 50_000;
     // A drain has 4 s to leave no client here. New connections come until the front has heard: answers tell clients to
     // leave from then on, and what nobody asks on by the second moment is closed.
     private static final long DRAIN_CLOSING_MILLIS = 500;
@@ -130,13 +132,13 @@
     }
 
     ChannelFuture listen(InetSocketAddress at) {
-        return listening(bootstrap().channelFactory(() -> new Listener(this::acceptFailed)).bind(at));
+        return listening(bootstrap().channelFactory(() -> new Listener(gateway::now, this::acceptFailed)).bind(at));
     }
 
     /** Accepts from a socket that others listen on as well, before and after this gateway. */
     ChannelFuture accept(ServerSocketChannel passed) {
         shared = true;
-        return listening(bootstrap().channelFactory(() -> new Listener(passed, this::acceptFailed)).register());
+        return listening(bootstrap().channelFactory(() -> new Listener(passed, gateway::now, this::acceptFailed)).register());
     }
 
     private ChannelFuture listening(ChannelFuture begun) {
@@ -308,6 +310,7 @@
         private Gateway.Exchange exchange;
         private String id;
         private boolean read;
+        private boolean asked;  // a request of it has been taken
         private boolean over;  // shut for writing: nothing is taken any more
         private CloseReason reason = CloseReason.CLIENT;
         private Throwable failure;  // of a read or write
@@ -564,7 +567,7 @@
                 plain(HttpResponseStatus.CONFLICT, false);  // whose answer would it be?
             } else {
                 id = trace;
-                long left = Math.min(expires * 1000, type.deadline()) - waited;
+                long left = Math.min(expires * 1000, type.deadline()) - waited - queued();
                 long work = Math.max(0, number(headers.get("X-Size-Hint")));
                 Gateway.Exchange taken = gateway.take(this, message, currentRest, type.name(), tenant, key(headers.get("X-Object")), left,
                         "1".equals(headers.get("X-Second-Try")), work);
@@ -574,6 +577,16 @@
             }
         }
 
+        /** How much of the time of a connection's first request may have passed in the system's queue: hosts must not be told
+            more than its client has left, but for a slack of which a part is kept for hold-ups. */
+        private long queued() {
+            if (asked) {
+                return 0;
+            }
+            asked = true;
+            return Math.max(0, ((TcpChannel) channel).mayHaveWaited() - QUEUED_SLACK);
+        }
+
         /** Whether it goes on as it came: other than visible ASCII would be changed on the way. */
         private static boolean passable(String text) {
             return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c <= '~');
--- a/src/main/java/mastdrift/net/Listener.java
+++ b/src/main/java/mastdrift/net/Listener.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /** The socket that clients connect to, and the one owner of whether it accepts. A call that fails says nothing of those who
     wait in the queue: accepting goes on some milliseconds later, where the library would rest for a second. The system
@@ -21,18 +22,27 @@
     // So often the queue is tried again at the end, before it is given up.
     private static final int LAST_TRIES = 100;
 
+    // Behind a pause the loop has looked at the queue by then.
+    private static final long LOOKED_MILLIS = 1;
+
+    private final LongSupplier clock;
     private final Consumer<Exception> failures;
     private boolean wanted = true;
     private boolean resting;
+    private boolean draining;  // the queue has been met with a connection and not with its end
+    private boolean blocked;  // connections may lie in the queue that came during a pause
+    private long blockedSince;
 
-    /** To be bound; {@code failures} hears of each call that failed. */
-    Listener(Consumer<Exception> failures) {
+    /** To be bound; {@code failures} hears of each call that failed. The clock runs in microseconds from any origin. */
+    Listener(LongSupplier clock, Consumer<Exception> failures) {
+        this.clock = clock;
         this.failures = failures;
     }
 
     /** One that others have bound, and may hold as well. */
-    Listener(ServerSocketChannel passed, Consumer<Exception> failures) {
+    Listener(ServerSocketChannel passed, LongSupplier clock, Consumer<Exception> failures) {
         super(passed);
+        this.clock = clock;
         this.failures = failures;
     }
 
@@ -43,7 +53,28 @@
     }
 
     private void apply() {
-        config().setAutoRead(wanted && !resting);
+        boolean accepts = wanted && !resting;
+        if (!accepts) {
+            block();
+        } else if (blocked && isRegistered()) {
+            // The loop looks at all sockets before it comes to what one of its tasks has put off.
+            eventLoop().execute(() -> eventLoop().schedule(this::unblockUnlessPaused, LOOKED_MILLIS, TimeUnit.MILLISECONDS));
+        }
+        config().setAutoRead(accepts);
+    }
+
+    private void block() {
+        if (!blocked) {
+            blocked = true;
+            blockedSince = clock.getAsLong();
+        }
+    }
+
+    /** What has not been met by now came later; while some are met the queue tells its end itself. */
+    private void unblockUnlessPaused() {
+        if (wanted && !resting && !draining) {
+            blocked = false;
+        }
     }
 
     @Override
@@ -64,9 +95,14 @@
     private int take(List<Object> into) throws IOException {
         SocketChannel accepted = javaChannel().accept();
         if (accepted == null) {
+            draining = false;
+            blocked = false;
             return 0;
         }
-        into.add(TcpChannel.accepted(this, accepted));
+        draining = true;
+        TcpChannel connection = TcpChannel.accepted(this, accepted);
+        connection.mayHaveWaited(blocked ? clock.getAsLong() - blockedSince : 0);
+        into.add(connection);
         return 1;
     }
 
--- a/src/main/java/mastdrift/net/TcpChannel.java
+++ b/src/main/java/mastdrift/net/TcpChannel.java
@@ -26,6 +26,8 @@
     // A new connection's options are read once, and that call may fail while the connection is sound.
     private static final int ADOPT_TRIES = 4;
 
+    private long mayHaveWaited;
+
     /** One that is to be connected. */
     TcpChannel() { }
 
@@ -47,6 +49,15 @@
         }
     }
 
+    /** How long it may have lain in the system's queue while nothing was accepted, in microseconds. */
+    void mayHaveWaited(long span) {
+        mayHaveWaited = span;
+    }
+
+    long mayHaveWaited() {
+        return mayHaveWaited;
+    }
+
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
         int read = super.doReadBytes(into);
