Look for a client's departure before an attempt where the last look is older than 50 ms

The client's socket is read once more just then: before a queued, further or late attempt, and before what was read in a turn that was held up is passed on. nothingIsSentForWhoHasGoneSinceTheLastLook asks for one look and no attempt.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -297,7 +297,7 @@
             implements Gateway.Client, ConnectionLimit.Held {
 
         private final Channel channel;
-        private final ReadAhead reading = new ReadAhead(ahead, this::departureMatters);
+        private final ReadAhead reading = new ReadAhead(ahead, this::departureMatters, gateway::now);
         private final Requests requests = new Requests();
         private final Assembler assembler = new Assembler();
         private final Arrival arrival = new Arrival();
@@ -613,6 +613,13 @@
             }
         }
 
+        /** Where reading pauses for want of memory there is nothing to look at. */
+        @Override
+        public boolean present() {
+            ((TcpChannel) channel).readNow();
+            return channel.isActive();
+        }
+
         @Override
         public void served(FullHttpResponse answer) {
             ByteBuf body = answer.content().retain();
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -48,8 +48,15 @@
     private static final long FIGURES_SPAN = 200_000;  // figures may lag by half a second
     private static final String[] PASSED_ON = {"X-Trace-Id", "Idempotency-Key"};
 
+    // What a client sends behind its request, its end among it, is looked at before an attempt where the last look is older:
+    // the loop may have been held up since, or have met a host's event ahead of the client's.
+    static final long LOOK_AFTER = 50_000;
+
     /** Where the one final answer goes. */
     interface Client {
+        /** Looks at what has come on the connection by now; false where the client has gone. */
+        boolean present();
+
         /** With a host's answer, which the caller releases. */
         void served(FullHttpResponse answer);
 
@@ -71,6 +78,7 @@
         private final String trace;
         private final Relay rest;  // of its body, null where the message is whole
         private final long kept;
+        private long lookedAt = now();  // for the client's departure
         private final List<HostPool.Attempt> attempts = new ArrayList<>(2);
         private Future<?> backstop;
         private long due;  // on the gateway's clock
@@ -417,6 +425,7 @@
     @Override
     public void send(long id, String uid, long timeout) {
         Exchange exchange = ledger.get(id);
+        lookForDeparture(exchange);
         int number = exchange.attempts.size();
         boolean refused = exchange.ended || exchange.relaying || number >= settings.limits().maxAttempts();
         FullHttpRequest message = onward(exchange);
@@ -425,6 +434,18 @@
         exchange.out++;  // only now: of what could not be sent there is no outcome
     }
 
+    /** An attempt that is about to begin is not for a client that has gone. */
+    private void lookForDeparture(Exchange exchange) {
+        long now = now();
+        if (exchange.ended || now - exchange.lookedAt < LOOK_AFTER) {
+            return;
+        }
+        exchange.lookedAt = now;
+        if (!exchange.client.present()) {
+            exchange.departed();
+        }
+    }
+
     /** What becomes of one attempt. Its elapsed time is the host's: up to the answer's first bytes where that is passed
         on, and from the last byte of a request that is relayed. */
     private final class Course implements HostPool.Ended {
@@ -444,6 +465,7 @@
 
         @Override
         public boolean mayWrite() {
+            lookForDeparture(exchange);
             return !exchange.ended && module.mayWrite(now(), exchange.id, number);
         }
 
--- a/src/main/java/mastdrift/net/ReadAhead.java
+++ b/src/main/java/mastdrift/net/ReadAhead.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /** Reads a client's connection, and sees to it that a departure is heard before anything is done for who has gone: it lies
     behind what the client sent. What a turn of the loop reads is passed on behind the turn's events, so that an end that the
@@ -44,6 +45,7 @@
 
     private final Group group;
     private final BooleanSupplier departureMatters;
+    private final LongSupplier clock;
     private final Queue<ByteBuf> held = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private int size;  // of what is held, in memory
@@ -51,6 +53,7 @@
     private boolean dropping;
     private boolean due;
     private int reads;  // in this turn of the loop
+    private long readAt;  // the last time that there was something
 
     /** Sizes of reads on such a connection, for a channel's options: a turn of the loop reads on until there is nothing more,
         by which it meets an end that lies behind what has come. The loop may have been late, so that both are there. */
@@ -60,10 +63,11 @@
         return sizes;
     }
 
-    /** {@code departureMatters} is asked while the reader pauses. */
-    ReadAhead(Group group, BooleanSupplier departureMatters) {
+    /** {@code departureMatters} is asked while the reader pauses. The clock runs in microseconds from any origin. */
+    ReadAhead(Group group, BooleanSupplier departureMatters, LongSupplier clock) {
         this.group = group;
         this.departureMatters = departureMatters;
+        this.clock = clock;
     }
 
     /** Whether something has been read that the reader has not been given. */
@@ -102,6 +106,7 @@
         }
         ByteBuf bytes = paused ? compact((ByteBuf) message) : (ByteBuf) message;
         reads++;
+        readAt = clock.getAsLong();
         held.add(bytes);
         count(bytes.capacity());
         pace();
@@ -152,6 +157,7 @@
 
     private void passOn() {
         due = false;
+        lookAgain();
         if (!context.channel().isActive()) {
             release();  // it has ended, of which the reader is told next
         }
@@ -168,6 +174,14 @@
         }
     }
 
+    /** The loop may have been held up since these bytes were read, and their client may have left meanwhile. */
+    private void lookAgain() {
+        boolean longAgo = !held.isEmpty() && clock.getAsLong() - readAt > Gateway.LOOK_AFTER;
+        if (longAgo && !paused && context.channel() instanceof TcpChannel connection) {
+            connection.readNow();
+        }
+    }
+
     /** Also where others have made room in what all may hold. */
     void pace() {
         boolean room = !paused ? size < TURN_MOST
--- a/src/main/java/mastdrift/net/TcpChannel.java
+++ b/src/main/java/mastdrift/net/TcpChannel.java
@@ -58,6 +58,14 @@
         return mayHaveWaited;
     }
 
+    /** Reads what there is by now, the end of the connection among it, ahead of the loop's next turn; on the loop. Unless
+        reading has paused. */
+    void readNow() {
+        if (isActive() && config().isAutoRead()) {
+            unsafe().read();
+        }
+    }
+
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
         int read = super.doReadBytes(into);
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -46,6 +46,8 @@
     private final List<String> events = new CopyOnWriteArrayList<>();
     private Balancer.Actions actions;
 
+    private boolean present = true;
+    private int looks;
     private final Gateway.Client client = new Gateway.Client() {
         @Override
         public void served(FullHttpResponse answer) {
@@ -57,6 +59,12 @@
             answers.add("begun");
         }
 
+        @Override
+        public boolean present() {
+            looks++;
+            return present;
+        }
+
         @Override
         public void refused(long retryAfter) {
             answers.add("refused");
@@ -143,6 +151,22 @@
         assertEquals(List.of("start", "hosts", "request", "end of request", "resolved", "resolved"), awaitEvents(6));
     }
 
+    /** Guards against an attempt for who left while the loop was held up, or ahead of whose end a host's event was met. */
+    @Test
+    void nothingIsSentForWhoHasGoneSinceTheLastLook() throws Exception {
+        present = false;
+        take(60_000_000, (asked, id) -> {
+            long until = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(2 * Gateway.LOOK_AFTER);
+            while (System.nanoTime() < until) {
+                Thread.onSpinWait();
+            }
+            asked.send(id, "unknown", 1_000_000);
+        });
+        assertEquals(List.of("start", "hosts", "request", "end of request", "departed", "resolved"), awaitEvents(6));
+        assertEquals(1, looks);
+        assertNull(answers.peek());
+    }
+
     private List<String> awaitEvents(int count) throws InterruptedException {
         for (int i = 0; events.size() < count && i < Loopback.WAIT_SECONDS * 100; i++) {
             Thread.sleep(10);
--- a/src/test/java/mastdrift/net/ReadAheadTest.java
+++ b/src/test/java/mastdrift/net/ReadAheadTest.java
@@ -14,7 +14,8 @@
 
     private static final int READS_OF_A_TURN = 16;
 
-    private final EmbeddedChannel channel = new EmbeddedChannel(new ReadAhead(new ReadAhead.Group(1 << 20), () -> true));
+    private final EmbeddedChannel channel = new EmbeddedChannel(new ReadAhead(new ReadAhead.Group(1 << 20), () -> true,
+            () -> 0));
 
     private void read(int pieces) {
         Object[] all = new Object[pieces];
