--- a/src/main/java/mastdrift/net/TcpChannel.java
+++ b/src/main/java/mastdrift/net/TcpChannel.java
@@ -23,8 +23,8 @@
     private static final int NOTHING_READ = 0;
     // The JDK hands on ENOBUFS and ENOMEM by the system's text alone.
     private static final List<String> SHORTAGES = List.of("no buffer space available", "cannot allocate memory");
-    // A new connection's options are read once, and that call may fail while the connection is sound.
-    private static final int ADOPT_TRIES = 4;
+    // A new connection is set up by some calls that may fail though it is sound; whoever is dropped here loses its request.
+    private static final int ADOPT_TRIES = 100;
 
     private long mayHaveWaited;
 
