--- a/common/src/main/java/mastdrift/common/Follow.java
+++ b/common/src/main/java/mastdrift/common/Follow.java
@@ -59,7 +59,8 @@
                 headers.forEach((name, value) -> request.headers().set(name, value));
                 channel.writeAndFlush(request);
             } else {
-                over("no connection: " + done.cause().getMessage());
+                // Where no socket could be made there is no channel, and the library tells of it on a thread of its own.
+                loop.execute(() -> over("no connection: " + done.cause().getMessage()));
             }
         });
     }
@@ -74,7 +75,7 @@
     /** Ends it unheard. */
     public void stop() {
         ended = true;
-        channel.close();
+        close();
     }
 
     private void over(String cause) {
@@ -82,7 +83,13 @@
             ended = true;
             end.accept(cause);
         }
-        channel.close();
+        close();
+    }
+
+    private void close() {
+        if (channel.isOpen()) {
+            channel.close();
+        }
     }
 
     private final class Answer extends SimpleChannelInboundHandler<HttpObject> {
--- a/common/src/main/java/mastdrift/common/Http.java
+++ b/common/src/main/java/mastdrift/common/Http.java
@@ -53,6 +53,7 @@
 
     private Http(EventLoopGroup loops, InetSocketAddress at, Handler handler) throws IOException {
         ChannelFuture bound = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .handler(new AcceptRetry())
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
