Try for five seconds to listen where the address is held or no socket is to be had

A gateway whose predecessor was still ending, or that met a shortage of sockets as it began to listen, ended with status 2; a rehearsal that met one left the process up and never ready. Each try that failed is logged.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -99,6 +99,7 @@
     private final ReadAhead.Group ahead = new ReadAhead.Group(AHEAD_MOST);
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Listener server;
+    private boolean sweeping;
     private boolean accepting = true;
     private boolean shared;  // the listening socket: a successor accepts from it too
     private boolean closing;  // each answer is the last on its connection
@@ -141,9 +142,15 @@
         return listening(bootstrap().channelFactory(() -> new Listener(passed, gateway::now, this::acceptFailed)).register());
     }
 
+    /** A try that failed has no listener, and may be followed by another. */
     private ChannelFuture listening(ChannelFuture begun) {
-        server = (Listener) begun.channel();
-        Periodic.every(loop, SWEEP_SPAN, this::closeOverdue, gateway::log);
+        if (begun.channel() instanceof Listener listener) {
+            server = listener;
+        }
+        if (!sweeping) {
+            sweeping = true;
+            Periodic.every(loop, SWEEP_SPAN, this::closeOverdue, gateway::log);
+        }
         return begun;
     }
 
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -27,6 +27,9 @@
     private static final int STOP_SECONDS = 30;
     // An agent on this machine answers at once; while it is silent there is nothing to hear.
     private static final long FIRST_LIST_MILLIS = 300;
+    // The address may be held by a process that is about to end, and the system may lack a socket for a moment: five seconds.
+    private static final int LISTEN_TRIES = 50;
+    private static final long LISTEN_RETRY_MILLIS = 100;
     private static final String REHEARSE = "rehearse";
 
     // Kept, since a logger that nobody holds forgets its level.
@@ -149,8 +152,12 @@
     /** Lets clients come, on the passed socket where there is one; throws IllegalArgumentException where that can't be. */
     static void listen(ClientSide clients, Config config, ServerSocketChannel passed, EventLoop loop, Life life,
             PrintStream out) {
-        ChannelFuture listening = (passed == null ? clients.listen(config.listen()) : clients.accept(passed))
-                .awaitUninterruptibly();
+        ChannelFuture listening = begin(clients, config, passed);
+        for (int tries = 1; !listening.isSuccess() && tries < LISTEN_TRIES; tries++) {
+            out.println("not listening yet on " + config.listen() + ": " + listening.cause().getMessage());
+            rest();
+            listening = begin(clients, config, passed);
+        }
         if (!listening.isSuccess()) {
             throw new IllegalArgumentException("no listening on " + config.listen() + ": "
                     + listening.cause().getMessage(), listening.cause());
@@ -159,6 +166,18 @@
         life.started(() -> loop.execute(clients::drainOrNot));
     }
 
+    private static ChannelFuture begin(ClientSide clients, Config config, ServerSocketChannel passed) {
+        return (passed == null ? clients.listen(config.listen()) : clients.accept(passed)).awaitUninterruptibly();
+    }
+
+    private static void rest() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(LISTEN_RETRY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
     private static void stop(EventLoop loop, ClientSide clients) {
         System.out.println("stopping");
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
@@ -78,7 +79,7 @@
                 call(admin, "GET /status");
                 call(admin, "GET /status/metrics");
             }
-        } catch (IOException e) {
+        } catch (IOException | ChannelException e) {
             out.println("rehearsal ended early: " + e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
