--- /dev/null
+++ b/rig/src/main/java/mastdrift/rig/BadClients.java
@@ -0,0 +1,100 @@
+package mastdrift.rig;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import mastdrift.lab.Dice;
+
+/** Clients that use up connections: some rest without a request, others stop in the middle of one and stay. Each that the
+    gateway ends comes back after a while. The history has, for each that stopped, how long it was left waiting. On the load's
+    event loop alone. */
+final class BadClients {
+
+    private static final String HALF_A_REQUEST = "POST /api HTTP/1.1\r\nHost: service.internal\r\nContent-Le";
+    private static final int BACK_AFTER_MILLIS = 1000;
+
+    private final EventLoop loop;
+    private final int idle;
+    private final int stuck;
+    private final History history;
+    private final Set<Channel> open = new HashSet<>();
+    private boolean closed;
+
+    BadClients(EventLoop loop, RigPlan.Load plan, long seed, History history) {
+        this.loop = loop;
+        this.history = history;
+        Dice dice = new Dice(seed, "bad-clients");
+        idle = (int) Math.round(dice.in(plan.idle()));
+        stuck = (int) Math.round(dice.in(plan.stuck()));
+    }
+
+    /** They come from now on, dealt out over the gateways in turn. */
+    void start(Map<String, InetSocketAddress> gateways) {
+        List<String> names = List.copyOf(gateways.keySet());
+        loop.execute(() -> {
+            for (int i = 0; i < idle + stuck; i++) {
+                String name = names.get(i % names.size());
+                come(name, gateways.get(name), i < idle ? "" : HALF_A_REQUEST);
+            }
+        });
+    }
+
+    private void come(String gateway, InetSocketAddress at, String text) {
+        if (closed) {
+            return;
+        }
+        Channel channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .handler(new SimpleChannelInboundHandler<ByteBuf>() {
+
+                    private long sentAt;
+
+                    @Override
+                    public void channelActive(ChannelHandlerContext context) {
+                        sentAt = History.now();
+                        if (!text.isEmpty()) {
+                            context.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+                        }
+                    }
+
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext context, ByteBuf answer) { }
+
+                    @Override
+                    public void channelInactive(ChannelHandlerContext context) {
+                        if (!text.isEmpty() && !closed) {
+                            history.add(sentAt, History.now(), gateway, "stuck-client-ended", Map.of());
+                        }
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                        context.close();
+                    }
+                }).connect(at).channel();
+        open.add(channel);
+        channel.closeFuture().addListener(ended -> {
+            open.remove(channel);
+            loop.schedule(() -> come(gateway, at, text), BACK_AFTER_MILLIS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** All leave. */
+    void close() {
+        loop.submit(() -> {
+            closed = true;
+            List.copyOf(open).forEach(Channel::close);
+        }).syncUninterruptibly();
+    }
+}
--- a/rig/src/main/java/mastdrift/rig/Draw.java
+++ b/rig/src/main/java/mastdrift/rig/Draw.java
@@ -11,24 +11,30 @@
 /** The faults of one seed: the same plan, names and seed give the same faults, whatever the machine. */
 final class Draw {
 
+    // SIGKILL comes so long behind the longest deadline after SIGTERM at the earliest; a longer deadline counts as this.
+    private static final long KILL_BEHIND_MILLIS = 700;
+    private static final long LONGEST_COUNTED_MILLIS = 3000;
+
     private Draw() { }
 
     static List<Fault> faults(RigPlan plan, List<String> names, long seed) {
         List<Fault> faults = new ArrayList<>();
+        long earliestKill = Math.min(plan.load().deadlineMs(seed), LONGEST_COUNTED_MILLIS) + KILL_BEHIND_MILLIS;
         for (int t = 0; t < plan.faults().size(); t++) {
             RigPlan.Trouble trouble = plan.faults().get(t);
             Dice dice = new Dice(seed, plan.name() + "#" + t);
-            for (int i = 0; i < trouble.times(); i++) {
-                faults.add(fault(faults.size(), trouble, names, dice));
+            boolean drawn = trouble.chance() >= 1 || dice.unit() < trouble.chance();
+            for (int i = 0; drawn && i < trouble.times(); i++) {
+                faults.add(fault(faults.size(), trouble, names, dice, earliestKill));
             }
         }
         return faults;
     }
 
-    private static Fault fault(int id, RigPlan.Trouble trouble, List<String> names, Dice dice) {
+    private static Fault fault(int id, RigPlan.Trouble trouble, List<String> names, Dice dice, long earliestKill) {
         long at = millis(trouble.atS(), dice);
         long span = millis(trouble.forS(), dice);
-        double size = dice.in(trouble.size());
+        double size = trouble.kind() == Fault.Kind.STOP ? earliestKill : dice.in(trouble.size());
         boolean link = trouble.kind().link;
         String process = link ? trouble.from() : trouble.process();
         List<String> first = process.equals(Stage.LEADER) ? List.of(process) : matching(names, process);
--- a/rig/src/main/java/mastdrift/rig/Fault.java
+++ b/rig/src/main/java/mastdrift/rig/Fault.java
@@ -39,6 +39,10 @@
         /** New connections are refused, and those that are open are reset. */
         REFUSE(true),
         KILL(false), TERM(false), FREEZE(false),
+        /** SIGTERM, and SIGKILL as early as the platform may send it: 0.7 s and the longest deadline later. */
+        STOP(false),
+        /** SIGHUP. */
+        HANG_UP(false),
         /** A host of the list is drained, and is gone and back cold after the span. */
         REPLACE(false),
         /** The process's files can't be written: full. */
--- a/rig/src/main/java/mastdrift/rig/Load.java
+++ b/rig/src/main/java/mastdrift/rig/Load.java
@@ -41,6 +41,7 @@
 
     private static final List<Type> TYPES = List.of(new Type("leitura", 0.6, true, false),
             new Type("fechamento", 0.2, false, false), new Type("consulta", 0.2, false, true));
+    /** How long clients wait where a plan does not say. */
     static final int DEADLINE_MILLIS = 670;
     /** A client that has heard nothing for so long beyond its deadline never will. */
     static final int GIVE_UP_MILLIS = 8000;
@@ -53,6 +54,7 @@
     private final Dice dice;
     private final double rate;
     private final RigPlan.Load plan;
+    private final int deadlineMillis;
     private final Map<String, Target> targets = new HashMap<>();
     private final CountDownLatch over = new CountDownLatch(1);
     private long until;
@@ -67,6 +69,7 @@
         this.history = history;
         this.rate = rate;
         this.plan = plan;
+        deadlineMillis = plan.deadlineMs(seed);
         dice = new Dice(seed, "load");
         gateways.forEach((name, at) -> targets.put(name, new Target(name, at)));
     }
@@ -207,7 +210,7 @@
             trace = String.format("%016x", ++sent);
             key = String.format("%032x", sent);
             out++;
-            loop.schedule(() -> end("unanswered", 0, null), DEADLINE_MILLIS + GIVE_UP_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> end("unanswered", 0, null), deadlineMillis + GIVE_UP_MILLIS, TimeUnit.MILLISECONDS);
         }
 
         /** Of so many tries: one that met no gateway, or a connection that the gateway was just closing, is made again. */
@@ -245,7 +248,7 @@
                     : HttpMethod.POST, "/api", body);
             request.headers().set(HttpHeaderNames.HOST, "service.internal").set("X-Trace-Id", trace)
                     .set("X-Qos", type.name).set("X-Object", Integer.toHexString(dice.below(plan.keys())))
-                    .set("X-Expires-In-Ms", DEADLINE_MILLIS);
+                    .set("X-Expires-In-Ms", deadlineMillis);
             if (type.keyed) {
                 request.headers().set("Idempotency-Key", key);
             }
@@ -254,7 +257,7 @@
             }
             to.writeAndFlush(request).addListener(done -> written = done.isSuccess());
             if (plan.leave() > 0 && dice.unit() < plan.leave()) {
-                loop.schedule(this::leave, dice.below(DEADLINE_MILLIS), TimeUnit.MILLISECONDS);
+                loop.schedule(this::leave, dice.below(deadlineMillis), TimeUnit.MILLISECONDS);
             }
         }
 
--- a/rig/src/main/java/mastdrift/rig/PlanFile.java
+++ b/rig/src/main/java/mastdrift/rig/PlanFile.java
@@ -34,7 +34,9 @@
         h.done();
         TomlFile.Section l = top.section("load");
         RigPlan.Load load = new RigPlan.Load(l.range("rate", 0, 0, 0, 20_000), l.whole("keys", 250, 1, 1_000_000),
-                l.real("fresh", 0, 0, 1), l.real("leave", 0, 0, 1));
+                l.real("fresh", 0, 0, 1), l.real("leave", 0, 0, 1),
+                l.range("deadline_ms", Load.DEADLINE_MILLIS, Load.DEADLINE_MILLIS, 20, 60_000), l.range("idle", 0, 0, 0, 2000),
+                l.range("stuck", 0, 0, 0, 100), l.flag("direct", false));
         l.done();
         TomlFile.Section r = top.section("registry");
         RigPlan.Registry registry = new RigPlan.Registry(r.whole("replicas", 0, 0, 7));
@@ -111,7 +113,7 @@
                 f.range("at_s", 3, 6, 0, 3600), f.range("for_s", 2, 4, 0, 3600), f.word("way", Link.Way.class, Link.Way.BOTH),
                 f.range("size", 0, 0, kind == Fault.Kind.SYSTEM_CALL ? -1e9 : 0, 1e9), f.real("spread", 0, 0, 1), f.word("back", Fault.Back.class, Fault.Back.KEEP),
                 when, f.real("heal", 1, 0, 1), f.whole("times", 1, 1, 100),
-                kind == Fault.Kind.SYSTEM_CALL ? systemCall(f) : null);
+                kind == Fault.Kind.SYSTEM_CALL ? systemCall(f) : null, f.real("chance", 1, 0, 1));
         f.done();
         return trouble;
     }
--- a/rig/src/main/java/mastdrift/rig/Play.java
+++ b/rig/src/main/java/mastdrift/rig/Play.java
@@ -57,6 +57,8 @@
             if (load != null) {
                 load.start(plan.seconds() * 1_000_000L);
             }
+            BadClients badClients = new BadClients(stage.loadLoop(), plan.load(), seed, history);
+            badClients.start(gatewayAddresses(plan, stage));
             work.start();
             stage.keepRegistered();
             if (plan.duties().candidates() > 0) {
@@ -85,6 +87,7 @@
                 work.readLast();
             }
             work.close();
+            badClients.close();
             if (load != null) {
                 load.await();
             }
@@ -93,7 +96,7 @@
             crashed = stage.end();
             stage.collect();
         }
-        figures.putAll(figures(history));
+        figures.putAll(figures(history, plan.load().deadlineMs(seed)));
         List<Check.Verdict> verdicts = new ArrayList<>(Checks.look(plan.check(), history));
         verdicts.add(Check.Verdict.of("processes", crashed));
         long now = History.now();
@@ -129,11 +132,17 @@
         if (plan.load().rate().to() == 0) {
             return null;
         }
+        return new Load(stage.loadLoop(), gatewayAddresses(plan, stage), new Dice(seed, "rate").in(plan.load().rate()),
+                plan.load(), seed, history);
+    }
+
+    /** Where clients reach each gateway. */
+    private static Map<String, InetSocketAddress> gatewayAddresses(RigPlan plan, Stage stage) {
         Map<String, InetSocketAddress> gateways = new TreeMap<>();
         for (String name : Draw.matching(Stage.names(plan), "gateway-*")) {
-            gateways.put(name, Http.address(stage.reach(Stage.CLIENTS, name)));
+            gateways.put(name, Http.address(plan.load().direct() ? stage.own(name) : stage.reach(Stage.CLIENTS, name)));
         }
-        return new Load(stage.loadLoop(), gateways, new Dice(seed, "rate").in(plan.load().rate()), plan.load(), seed, history);
+        return gateways;
     }
 
     private static Duration ownCpu() {
@@ -147,7 +156,7 @@
     }
 
     /** What came of the requests. Served means in time; times are milliseconds from when a request was due. */
-    private static Map<String, Object> figures(History history) {
+    private static Map<String, Object> figures(History history, int deadlineMillis) {
         Map<String, Object> figures = new LinkedHashMap<>();
         Map<String, Integer> outcomes = new TreeMap<>();
         Histogram times = new Histogram(60_000_000L, 3);
@@ -158,7 +167,7 @@
             long micros = request.end() - request.start();
             if (outcome.equals("served")) {
                 times.recordValue(Math.min(micros, 60_000_000L));
-                if (micros > Load.DEADLINE_MILLIS * 1000L) {
+                if (micros > deadlineMillis * 1000L) {
                     outcome = "late";
                     late++;
                 }
@@ -171,7 +180,7 @@
             figures.putAll(outcomes);
             figures.put("served_share", Math.round(1000.0 * outcomes.getOrDefault("served", 0) / requests.size()) / 1000.0);
             figures.put("lost_by_time", requests.stream().filter(request -> request.end() - request.start()
-                    > (Load.DEADLINE_MILLIS + LOST_BEHIND_MILLIS) * 1000L).count());
+                    > (deadlineMillis + LOST_BEHIND_MILLIS) * 1000L).count());
             figures.put("sent_again", requests.stream().filter(request -> request.text("before") != null).count());
             figures.put("late_share", Math.round(1000.0 * late / requests.size()) / 1000.0);
             figures.put("p50_ms", times.getValueAtPercentile(50) / 1000.0);
--- a/rig/src/main/java/mastdrift/rig/Program.java
+++ b/rig/src/main/java/mastdrift/rig/Program.java
@@ -108,6 +108,20 @@
         end("KILL");
     }
 
+    /** SIGTERM, whose end nobody waits for. */
+    void terminate() {
+        if (alive()) {
+            signal("TERM");
+        }
+    }
+
+    /** SIGHUP. */
+    void hangUp() {
+        if (alive()) {
+            signal("HUP");
+        }
+    }
+
     /** SIGTERM; waits for its end, and kills it if that takes too long. True if it ended by itself. */
     boolean term() {
         return end("TERM");
--- a/rig/src/main/java/mastdrift/rig/Rig.java
+++ b/rig/src/main/java/mastdrift/rig/Rig.java
@@ -29,7 +29,7 @@
 /** The rig's commands. Exit status: 0 all held, 1 something was broken, 2 misuse or a play that could not be played. */
 @Command(name = "rig", mixinStandardHelpOptions = true, version = "0.1.0", synopsisSubcommandLabel = "COMMAND",
         description = "Plays processes of the program under faults, and judges what they did.",
-        subcommands = {Rig.Run.class, Rig.MakeReport.class, Rig.Shrink.class, Rig.MakeCrowd.class, Rig.MakeTakeover.class, CommandLine.HelpCommand.class})
+        subcommands = {Rig.Run.class, Rig.Soak.class, Rig.MakeReport.class, Rig.Shrink.class, Rig.MakeCrowd.class, Rig.MakeTakeover.class, CommandLine.HelpCommand.class})
 public final class Rig implements Runnable {
 
     static final int HELD = 0;
@@ -63,7 +63,7 @@
     /** What both commands that play take. */
     abstract static class Playing implements Callable<Integer> {
 
-        @Parameters(index = "0", paramLabel = "PLAN", description = "the plan, a TOML file")
+        @Parameters(index = "0", arity = "0..1", paramLabel = "PLAN", description = "the plan, a TOML file")
         private Path file;
 
         @Option(names = "--out", paramLabel = "DIR", defaultValue = "target/rig",
@@ -86,7 +86,7 @@
                 throw new CommandLine.ParameterException(spec.commandLine(), "--broken: expected one of "
                         + String.join(", ", Variants.ALL) + ", not " + variant);
             }
-            RigPlan plan = PlanFile.read(file);
+            RigPlan plan = PlanFile.read(file == null ? usualPlan() : file);
             if (plan.gateways().count() > 0 && !Files.exists(root.resolve("target/mastdrift.jsa"))) {
                 throw new IllegalStateException(root.resolve("target/mastdrift.jsa")
                         + " is missing: run the deploy file's build first");
@@ -94,6 +94,15 @@
             return plan;
         }
 
+        /** The plan where none is named. */
+        Path usualPlan() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "Missing required parameter: 'PLAN'");
+        }
+
+        Path root() {
+            return root;
+        }
+
         Path out() {
             return out.toAbsolutePath();
         }
@@ -113,7 +122,7 @@
     }
 
     @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a plan with each seed.")
-    static final class Run extends Playing {
+    static class Run extends Playing {
 
         @Option(names = "--seeds", paramLabel = "SEEDS", defaultValue = "1", converter = Lab.Seeds.class,
                 description = "like 3, 1..8 or 1,5,9..12 (default: ${DEFAULT-VALUE})")
@@ -175,6 +184,16 @@
         }
     }
 
+    @Command(name = "soak", mixinStandardHelpOptions = true, description = "Plays gateways under all kinds of faults, which "
+            + "each seed draws from rig/plans/soak.toml, or from another plan.")
+    static final class Soak extends Run {
+
+        @Override
+        Path usualPlan() {
+            return root().resolve("rig/plans/soak.toml");
+        }
+    }
+
     @Command(name = "report", mixinStandardHelpOptions = true,
             description = "Makes one page of the plays in a folder that 'run' left.")
     static final class MakeReport implements Callable<Integer> {
--- a/rig/src/main/java/mastdrift/rig/RigPlan.java
+++ b/rig/src/main/java/mastdrift/rig/RigPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import mastdrift.common.Range;
+import mastdrift.lab.Dice;
 
 /**
  * A plan as its file has it: what runs, what comes, and ranges of faults of which each seed draws its own.
@@ -21,9 +22,26 @@
         of our list service live without renewal, 0 for as long as nobody removes them. */
     record Hosts(int count, List<String> zones, int cores, Range workMs, long leaseMs) { }
 
-    /** Requests a second to all gateways together, the share of them that come on a new connection and end it, and that of
-        clients that close their connection before their answer. */
-    record Load(Range rate, int keys, double fresh, double leave) { }
+    /**
+     * The clients.
+     *
+     * @param rate requests a second to all gateways together
+     * @param keys how many objects requests are about
+     * @param fresh the share of requests on a new connection, which they end
+     * @param leave the share of clients that close their connection before their answer
+     * @param deadlineMs how long clients wait, and the deadline of all classes in the gateways' settings
+     * @param idle how many further connections rest without a request
+     * @param stuck how many further clients stop in the middle of a request
+     * @param direct whether clients reach gateways without a link between
+     */
+    record Load(Range rate, int keys, double fresh, double leave, Range deadlineMs, Range idle, Range stuck,
+            boolean direct) {
+
+        /** The deadline of that seed's play. */
+        int deadlineMs(long seed) {
+            return (int) Math.round(new Dice(seed, "deadline").in(deadlineMs));
+        }
+    }
 
     /** Replicas of our list service, 0 for none. */
     record Registry(int replicas) { }
@@ -38,8 +56,8 @@
     /** So many candidates for the conductor's duty, its term, and when a roll over all gateways is ordered. */
     record Duties(int candidates, long termMs, Range startS) { }
 
-    /** A fault that seeds draw from; processes are named by patterns with a star. */
+    /** A fault that seeds draw from, each with the chance; processes are named by patterns with a star. */
     record Trouble(Fault.Kind kind, String process, String from, String to, int pick, Range atS, Range forS, Link.Way way,
             Range size, double spread, Fault.Back back, String when, double heal, int times,
-            SystemCall systemCall) { }
+            SystemCall systemCall, double chance) { }
 }
--- a/rig/src/main/java/mastdrift/rig/RulesCheck.java
+++ b/rig/src/main/java/mastdrift/rig/RulesCheck.java
@@ -18,6 +18,8 @@
     private static final long DRAIN_SLACK = 1_500_000;  // for a busy machine; the bench has 50 ms
     // Behind a client's close an attempt may begin for 0.1 s; a hold-up of 0.15 s and a busy machine are allowed for.
     private static final long DEPARTURE_HEARD = 500_000;
+    // The terms have 3 s; a busy machine is allowed for.
+    private static final long STUCK_ENDED_WITHIN = 4_000_000;
     private static final long AFTER_FAULT = 2_000_000;
     private static final long TOLD_AT_THE_LATEST = 6_000_000;
 
@@ -38,6 +40,7 @@
         lost(requests, troubles);
         lostOnReuse(history, requests, troubles);
         forNobody(history, requests);
+        stuckClients(history, troubles);
         duplicates(history, requests, troubles);
         drains(history, requests, troubles);
         history.events("fell").stream().filter(event -> troubles.stream().noneMatch(trouble ->
@@ -110,6 +113,15 @@
         }
     }
 
+    /** A client that stops in the middle of a request is ended in time, unless its gateway itself was stopped. */
+    private void stuckClients(History history, List<Trouble> troubles) {
+        history.events("stuck-client-ended").stream().filter(event -> event.end() - event.start() > STUCK_ENDED_WITHIN)
+                .filter(event -> troubles.stream().noneMatch(trouble -> trouble.processes.contains(event.by())
+                        && trouble.kind.equals("freeze") && trouble.overlaps(event.start(), event.end())))
+                .forEach(event -> breaches.add("stuck: " + event.by() + " left a client that had stopped in the middle of a "
+                        + "request waiting for " + (event.end() - event.start()) / 1000 + " ms"));
+    }
+
     private void duplicates(History history, Map<String, Event> requests, List<Trouble> troubles) {
         Map<String, List<Event>> begun = new HashMap<>();
         history.events("begin").forEach(event -> begun.computeIfAbsent(event.text("trace"), t -> new ArrayList<>()).add(event));
--- a/rig/src/main/java/mastdrift/rig/Saboteur.java
+++ b/rig/src/main/java/mastdrift/rig/Saboteur.java
@@ -100,6 +100,12 @@
                 stage.meant(name, true);
                 program.term();
             }
+            case STOP -> {
+                stage.meant(name, true);
+                program.terminate();
+                in(Math.round(fault.size()), program::kill);
+            }
+            case HANG_UP -> program.hangUp();
             case FREEZE -> program.freeze();
             case REPLACE -> stage.drain(name);
             case DISK_FULL -> stage.hook(name, "disk full");
@@ -148,7 +154,9 @@
     private void end(Fault fault, String name) {
         Program program = stage.programs().get(name);
         switch (fault.kind()) {
-            case KILL, TERM -> {
+            case HANG_UP -> { }
+            case KILL, TERM, STOP -> {
+                program.kill();  // a process that is told to stop may be there still
                 switch (fault.back()) {
                     case EMPTY -> program.wipe();
                     case OLDER -> program.older();
--- a/rig/src/main/java/mastdrift/rig/Stage.java
+++ b/rig/src/main/java/mastdrift/rig/Stage.java
@@ -154,7 +154,8 @@
         return ports.computeIfAbsent(name, n -> Addresses.port(addresses.own(index(n))));
     }
 
-    private String own(String name) {
+    /** Where a process itself listens. */
+    String own(String name) {
         return addresses.own(index(name)) + ":" + port(name);
     }
 
@@ -500,6 +501,7 @@
                 return anywhere;
             }).toList());
         }
+        settings.put("classes", withDeadline((List<?>) settings.get("classes"), plan.load().deadlineMs(seed)));
         config.put("settings", settings);
         config.put("name", name);
         config.put("listen", own(name));
@@ -514,6 +516,16 @@
         return config;
     }
 
+    /** The classes with that deadline, and targets that are no longer. */
+    private static List<?> withDeadline(List<?> classes, int deadlineMillis) {
+        return classes.stream().map(each -> {
+            Map<Object, Object> type = new LinkedHashMap<>((Map<?, ?>) each);
+            type.put("deadline", deadlineMillis * 1000);
+            type.put("target", Math.min(((Number) type.get("target")).intValue(), deadlineMillis * 1000));
+            return type;
+        }).toList();
+    }
+
     private boolean said(String name, String text) {
         return read(programs.get(name).spec().log()).contains(text);
     }
