--- a/rig/src/main/c/syscall_faults.c
+++ b/rig/src/main/c/syscall_faults.c
@@ -14,6 +14,8 @@
  *   side      client (accepted sockets), upstream (connected sockets) or any
  *   argument  a whole number, 0 where the error has none
  *
+ * open fails only for files below the folder named by SYSCALL_FOLDER: the virtual machine's own files are not the program's.
+ *
  * The writer changes the generation last, so that a rule is never read while it is being written. Each injected fault is
  * appended to the file named by SYSCALL_LOG: CLOCK_MONOTONIC in microseconds, call, error, descriptor.
  */
@@ -67,6 +69,7 @@
 struct rule { int call; int error; double rate; int side; long argument; };
 
 static const char *control;
+static const char *folder;
 static int log_descriptor = -1;
 static char generation[24];
 static struct rule rules[RULES_MOST];
@@ -231,6 +234,7 @@
 {
     const char *path = getenv("SYSCALL_FAULTS");
     const char *log = getenv("SYSCALL_LOG");
+    folder = getenv("SYSCALL_FOLDER");
     if (path == NULL) {
         return;
     }
@@ -452,6 +456,11 @@
     return NEXT(fsync)(descriptor);
 }
 
+static int below_folder(const char *path)
+{
+    return folder != NULL && strncmp(path, folder, strlen(folder)) == 0;
+}
+
 int open(const char *path, int flags, ...)
 {
     struct rule rule;
@@ -459,7 +468,7 @@
     va_start(arguments, flags);
     mode_t mode = va_arg(arguments, mode_t);
     va_end(arguments);
-    if (affected(OPEN, -1, &rule)) {
+    if (below_folder(path) && affected(OPEN, -1, &rule)) {
         return fail(&rule);
     }
     return (int) syscall(SYS_openat, AT_FDCWD, path, flags, mode);
@@ -472,7 +481,7 @@
     va_start(arguments, flags);
     mode_t mode = va_arg(arguments, mode_t);
     va_end(arguments);
-    if (affected(OPEN, -1, &rule)) {
+    if (below_folder(path) && affected(OPEN, -1, &rule)) {
         return fail(&rule);
     }
     return (int) syscall(SYS_openat, AT_FDCWD, path, flags | O_LARGEFILE, mode);
--- a/rig/src/main/java/mastdrift/rig/Program.java
+++ b/rig/src/main/java/mastdrift/rig/Program.java
@@ -30,6 +30,7 @@
     }
 
     private static final int END_SECONDS = 20;
+    private static final int HEARS_AFTER_MILLIS = 1000;
 
     /** Held while a process is started, and by whoever opens a socket that is to be gone once it is closed: a child has all of
         its parent's sockets until it has closed them, which on a busy machine is later than the parent has. */
@@ -38,6 +39,7 @@
     private final Spec spec;
     private final Warden warden;
     private volatile Process process;
+    private volatile long startedAt;
     private Duration cpuBefore = Duration.ZERO;  // of the processes before this one
     private volatile boolean frozen;
 
@@ -62,6 +64,7 @@
             builder.environment().putAll(spec.environment);
             synchronized (FORKING) {
                 process = builder.start();
+                startedAt = System.nanoTime();
             }
             warden.began(process.pid());
         } catch (IOException e) {
@@ -115,9 +118,9 @@
         }
     }
 
-    /** SIGHUP. */
+    /** SIGHUP, unless the process has just begun: until its virtual machine has come to its first line the signal ends it. */
     void hangUp() {
-        if (alive()) {
+        if (alive() && System.nanoTime() - startedAt > TimeUnit.MILLISECONDS.toNanos(HEARS_AFTER_MILLIS)) {
             signal("HUP");
         }
     }
--- a/rig/src/main/java/mastdrift/rig/SystemCallFaults.java
+++ b/rig/src/main/java/mastdrift/rig/SystemCallFaults.java
@@ -41,7 +41,7 @@
             Files.write(control, new byte[CONTROL_BYTES]);
         }
         return Map.of("LD_PRELOAD", library.toString(), "SYSCALL_FAULTS", control.toString(), "SYSCALL_LOG",
-                log(name).toString());
+                log(name).toString(), "SYSCALL_FOLDER", folder.toString());
     }
 
     private Path control(String name) {
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -8,6 +8,8 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.FileSystemException;
+import java.nio.file.NoSuchFileException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -30,29 +32,32 @@
     // The address may be held by a process that is about to end, and the system may lack a socket for a moment: five seconds.
     private static final int LISTEN_TRIES = 50;
     private static final long LISTEN_RETRY_MILLIS = 100;
+    private static final int READ_TRIES = 20;
     private static final String REHEARSE = "rehearse";
 
-    // Kept, since a logger that nobody holds forgets its level.
-    private static final Logger LIBRARY_LOG = Logger.getLogger("io.netty");
+    /** The library's log, made when it is first asked for: that takes longer than a signal may be left unheard. */
+    private static final class LibraryLog {
+        // Kept, since a logger that nobody holds forgets its level.
+        private static final Logger LOGGER = Logger.getLogger("io.netty");
+    }
 
     private Main() { }
 
     /** Runs until SIGTERM, or with {@code rehearse} until the rehearsal's end, by which the build learns what classes a
         start loads; exits with status 2 where the configuration can't be run with. */
     public static void main(String[] args) {
+        // First of all, or the signal would end the program. One that comes during the start is heard after it.
+        CompletableFuture<Reloader> reloader = new CompletableFuture<>();
+        onHangUp(() -> reloader.thenAccept(Reloader::signalled));
         // The library logs a failed accept; out of descriptors the log's own files can't be opened, and the error that
         // comes of it would end the loop's thread and with it the gateway.
-        LIBRARY_LOG.setLevel(Level.OFF);
+        LibraryLog.LOGGER.setLevel(Level.OFF);
         // A connection whose options can't be set is as good as another, and its client's request is owed an answer.
         System.setProperty("io.netty.bootstrap.closeOnSetOptionFailure", "false");
         EventLoop loop = loop();
         Life life = new Life();
-        CompletableFuture<Gateway> started = new CompletableFuture<>();
-        // First of all, or the signal would end the program. One that comes during the start is heard after it.
-        CompletableFuture<Reloader> reloader = started.thenApply(gateway -> reloader(gateway, loop));
-        onHangUp(() -> reloader.thenAccept(Reloader::signalled));
         try {
-            Config config = Config.read(System.getenv());
+            Config config = config();
             ServerSocketChannel passed = config.passedSocket() ? passed() : null;
             Tally tally = config.tally();
             InetSocketAddress admin = config.admin() == null ? null
@@ -66,7 +71,7 @@
                 System.out.println("operators may call " + admin);
             }
             ClientSide clients = prepare(config, loop, System::nanoTime, life, tally, System.out);
-            started.complete(clients.gateway());
+            reloader.complete(reloader(clients.gateway(), loop));
             // Before the first request can come: from then on an end without this would lose what was taken.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
             awaitFirstList(clients.gateway(), FIRST_LIST_MILLIS);
@@ -78,6 +83,21 @@
         }
     }
 
+    /** As the file has it; one that can't be opened for a moment is tried again. Throws IllegalArgumentException. */
+    private static Config config() {
+        for (int tries = 1; true; tries++) {
+            try {
+                return Config.read(System.getenv());
+            } catch (IllegalArgumentException e) {
+                boolean unread = e.getCause() instanceof FileSystemException && !(e.getCause() instanceof NoSuchFileException);
+                if (!unread || tries == READ_TRIES) {
+                    throw e;
+                }
+                rest();
+            }
+        }
+    }
+
     /** The only way to hear a signal that is not the end of the program; javac warns of the package, whatever is asked. */
     private static void onHangUp(Runnable then) {
         sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> then.run());
