--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -24,6 +24,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -46,6 +47,7 @@
     private static final int LONG = 20;  // and one is long, both ways
     private static final int LONG_BODY = Assembler.HELD_MOST + (16 << 10);
     private static final int PATIENCE_MILLIS = 1000;
+    private static final int FAILURES_MOST = 60;
 
     private Rehearsal() { }
 
@@ -74,7 +76,7 @@
                     .join();
             clients.listen(any).sync();
             life.started(() -> { });
-            ask(clients.address(), config, longToo);
+            askAll(clients.address(), config, longToo);
             if (admin != null) {
                 call(admin, "GET /status");
                 call(admin, "GET /status/metrics");
@@ -88,31 +90,53 @@
         }
     }
 
-    private static void ask(InetSocketAddress at, Config config, boolean longToo) throws IOException {
-        List<RequestClass> classes = config.settings().classes();
-        String tenant = config.settings().tenants().isEmpty() ? "none" : config.settings().tenants().get(0).name();
+    /** A call that fails at once says nothing of the next, which comes on a new connection: a start without what this compiles
+        would serve its first clients late. One that is not answered in time ends the rehearsal. */
+    private static void askAll(InetSocketAddress at, Config config, boolean longToo) throws IOException {
+        int[] next = {0};
+        for (int failures = 0; next[0] < REQUESTS; failures++) {
+            try {
+                ask(at, config, longToo, next);
+            } catch (SocketTimeoutException e) {
+                throw e;
+            } catch (IOException e) {
+                if (failures == FAILURES_MOST) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    /** Asks on one connection, from the request on that is next; {@code next} moves along. */
+    private static void ask(InetSocketAddress at, Config config, boolean longToo, int[] next) throws IOException {
+        String longBody = "-".repeat(LONG_BODY);
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MILLIS);
             socket.setTcpNoDelay(true);
             BufferedReader in = new BufferedReader(
                     new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            String longBody = "-".repeat(LONG_BODY);
-            for (int i = 0; i < REQUESTS; i++) {
-                RequestClass type = classes.get(i % classes.size());
-                boolean safe = type.repeat() == Repeat.SAFE;
-                boolean isLong = longToo && !safe && i % LONG == LONG - 1;
-                String request = (i == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
-                        + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + i + "\r\nX-Qos: " + type.name()
-                        + "\r\nX-Customer: " + tenant + "\r\nX-Object: " + i % HOSTS + "\r\n" + HostPool.EXPIRES + ": "
-                        + PATIENCE_MILLIS + (type.repeat() == Repeat.KEYED ? "\r\nIdempotency-Key: " + i : "")
-                        + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : isLong ? LONG_BODY + "\r\n\r\n" + longBody
-                        : "4\r\n\r\nbody");
+            while (next[0] < REQUESTS) {
+                String request = request(config, next[0]++, longToo, longBody);
                 socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
                 readAnswer(in);
             }
         }
     }
 
+    private static String request(Config config, int number, boolean longToo, String longBody) {
+        List<RequestClass> classes = config.settings().classes();
+        String tenant = config.settings().tenants().isEmpty() ? "none" : config.settings().tenants().get(0).name();
+        RequestClass type = classes.get(number % classes.size());
+        boolean safe = type.repeat() == Repeat.SAFE;
+        boolean isLong = longToo && !safe && number % LONG == LONG - 1;
+        return (number == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
+                + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + number + "\r\nX-Qos: " + type.name()
+                + "\r\nX-Customer: " + tenant + "\r\nX-Object: " + number % HOSTS + "\r\n" + HostPool.EXPIRES + ": "
+                + PATIENCE_MILLIS + (type.repeat() == Repeat.KEYED ? "\r\nIdempotency-Key: " + number : "")
+                + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : isLong ? LONG_BODY + "\r\n\r\n" + longBody
+                : "4\r\n\r\nbody");
+    }
+
     private static void call(InetSocketAddress at, String line) throws IOException {
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MILLIS);
