--- a/src/main/java/mastdrift/net/Listener.java
+++ b/src/main/java/mastdrift/net/Listener.java
@@ -19,6 +19,7 @@
 
     /** Between a call that failed and the next. */
     static final long RETRY_MILLIS = 5;
+    private static final int TRIES_AT_ONCE = 8;
     // So often the queue is tried again at the end, before it is given up.
     private static final int LAST_TRIES = 100;
 
@@ -77,17 +78,27 @@
         }
     }
 
+    /** A call that fails, or finds nothing where the system has told of a connection, is made again at once a few times; only
+        then accepting rests. {@code into} holds what this turn of the loop has taken before. */
     @Override
     protected int doReadMessages(List<Object> into) throws Exception {
-        try {
-            return take(into);
-        } catch (IOException | ChannelException failure) {
-            if (!isOpen()) {
-                throw failure;
+        boolean told = into.isEmpty();
+        for (int tries = 1; true; tries++) {
+            try {
+                int taken = take(into);
+                if (taken > 0 || !told || tries == TRIES_AT_ONCE) {
+                    return taken;
+                }
+            } catch (IOException | ChannelException failure) {
+                if (!isOpen()) {
+                    throw failure;
+                }
+                failures.accept(failure);
+                if (tries == TRIES_AT_ONCE) {
+                    rest();
+                    return 0;
+                }
             }
-            failures.accept(failure);
-            rest();
-            return 0;
         }
     }
 
