Write the log on a thread of its own, so that a stuck output holds up no request

What callers saw: behind a standard output that takes nothing (a full pipe, a disk that hangs) no request was answered from the line on that found no room, and a stop did nothing until the kill; with a full pipe at the start the gateway never listened. Cause: lines were printed on the event loop's thread, and by the stop's hook before it told the loop to stop. Why this works: LogWriter takes lines without waiting into a queue of 256 Ki characters and writes them on its own thread; what finds no room or is refused is counted (log_lines_dropped_total) and told ahead of the next line. The process's end waits 0.1 s for it at most. LogWriterTest holds the bound.

--- a/rig/src/main/c/syscall_faults.c
+++ b/rig/src/main/c/syscall_faults.c
@@ -11,7 +11,7 @@
  *   error     the name of an errno value, or SHORT (moves at most `argument` bytes), EOF (end of stream), DELAY (waits
  *             `argument` milliseconds, then calls), STEP (the real-time clock is off by `argument` milliseconds)
  *   rate      the probability that a matching call is affected
- *   side      client (accepted sockets), upstream (connected sockets) or any
+ *   side      client (accepted sockets), upstream (connected sockets), any (either), or log (standard output and error)
  *   argument  a whole number, 0 where the error has none
  *
  * open fails only for files below the folder named by SYSCALL_FOLDER: the virtual machine's own files are not the program's.
@@ -52,7 +52,7 @@
     "epoll_wait", "eventfd_read", "eventfd_write", "poll", "setsockopt", "getsockopt", "shutdown", "close", "open", "fsync",
     "clock" };
 
-enum side { ANY, CLIENT, UPSTREAM, EVENTFD };
+enum side { ANY, CLIENT, UPSTREAM, EVENTFD, LOG };
 
 /* Forms of a fault that are no errno value. */
 enum { FORM_SHORT = -1, FORM_EOF = -2, FORM_DELAY = -3, FORM_STEP = -4 };
@@ -140,7 +140,8 @@
         }
         rule.call = call_value(call);
         rule.error = error_value(error);
-        rule.side = strcmp(side, "client") == 0 ? CLIENT : strcmp(side, "upstream") == 0 ? UPSTREAM : ANY;
+        rule.side = strcmp(side, "client") == 0 ? CLIENT : strcmp(side, "upstream") == 0 ? UPSTREAM
+                : strcmp(side, "log") == 0 ? LOG : ANY;
         rules[rule_count++] = rule;
     }
 }
@@ -202,7 +203,8 @@
     pthread_rwlock_rdlock(&rules_lock);
     for (int i = 0; i < rule_count && !hit; i++) {
         struct rule *rule = &rules[i];
-        int matches = rule->call == call && (rule->side == ANY || rule->side == side_of(descriptor));
+        int on = side_of(descriptor);
+        int matches = rule->call == call && (rule->side == ANY ? on != LOG : rule->side == on);
         if (matches && (rule->error == FORM_STEP || draw() < rule->rate)) {
             *found = *rule;
             hit = 1;
@@ -247,6 +249,8 @@
     if (log != NULL) {
         log_descriptor = (int) syscall(SYS_openat, AT_FDCWD, log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     }
+    remember(STDOUT_FILENO, LOG);
+    remember(STDERR_FILENO, LOG);
     if (mapped != MAP_FAILED) {
         control = mapped;
     }
--- a/rig/src/main/java/mastdrift/rig/SystemCall.java
+++ b/rig/src/main/java/mastdrift/rig/SystemCall.java
@@ -30,8 +30,8 @@
         STEP
     }
 
-    /** Connections that clients opened, connections that the process opened, or both. */
-    enum Side { CLIENT, UPSTREAM, ANY }
+    /** Connections that clients opened, connections that the process opened, or both; or its log. */
+    enum Side { CLIENT, UPSTREAM, ANY, LOG }
 
     /** The calls that can be made to fail, each with the errors that its manual page documents. */
     enum Call {
@@ -43,7 +43,7 @@
         CONNECT_RESULT(Error.EADDRNOTAVAIL, Error.ENETUNREACH, Error.EHOSTUNREACH, Error.ECONNREFUSED, Error.ETIMEDOUT),
         READ(Error.SHORT, Error.EAGAIN, Error.EINTR, Error.ECONNRESET, Error.ETIMEDOUT, Error.EHOSTUNREACH, Error.EOF),
         WRITE(Error.SHORT, Error.EAGAIN, Error.EINTR, Error.EPIPE, Error.ECONNRESET, Error.ETIMEDOUT, Error.ENOBUFS,
-                Error.ENOMEM, Error.DELAY),
+                Error.ENOMEM, Error.EIO, Error.ENOSPC, Error.DELAY),
         EPOLL_WAIT(Error.EINTR, Error.DELAY),
         EVENTFD_READ(Error.EINTR, Error.EAGAIN),
         EVENTFD_WRITE(Error.EINTR, Error.EAGAIN),
--- a/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
+++ b/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
@@ -51,6 +51,10 @@
     }
 
     private static String fault(String call, String error, double rate, String side) {
+        return fault(call, error, rate, side, 1);
+    }
+
+    private static String fault(String call, String error, double rate, String side, int size) {
         return """
                 [[fault]]
                 kind = "system_call"
@@ -59,10 +63,10 @@
                 error = "%s"
                 rate = %s
                 side = "%s"
-                size = 1
+                size = %d
                 at_s = 0.5
                 for_s = 2.5
-                """.formatted(call, error, rate, side);
+                """.formatted(call, error, rate, side, size);
     }
 
     private long injected(int gateway, String call) throws Exception {
@@ -133,6 +137,16 @@
         }
     }
 
+    /** Guards against requests that wait for the log: its disk is full, broken, or hangs for 2 s a line. */
+    @Test
+    void aLogThatFailsOrHangsHoldsUpNoRequest() throws Exception {
+        Play.Outcome outcome = play(fault("write", "ENOSPC", 0.3, "log") + fault("write", "EIO", 0.3, "log")
+                + fault("write", "DELAY", 1, "log", 2000) + fault("socket", "ENFILE", 0.3, "any"));
+        assertHeld(outcome);
+        assertTrue(injected(1, "write") > 0);
+        assertEquals(0, ((Number) outcome.figures().get("lost_by_time")).longValue(), outcome.figures().toString());
+    }
+
     @Test
     void anUnknownErrorIsNamedWithFileLineAndKey() {
         TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> PlanFile.parse("""
--- a/src/main/java/mastdrift/net/Figures.java
+++ b/src/main/java/mastdrift/net/Figures.java
@@ -38,6 +38,7 @@
         count(text, tally, Tally.Count.DEPARTED, "Requests whose client went away first.");
         count(text, tally, Tally.Count.LOOP_LATE, "Times that the event loop was late by over 0.15 s.");
         count(text, tally, Tally.Count.OFF_LOOP, "Callbacks on a wrong thread.");
+        count(text, tally, Tally.Count.LOG_LINES_DROPPED, "Lines of the log that its output did not take.");
         return text.toString();
     }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -147,7 +146,7 @@
 
     private final EventLoop loop;
     private final Balancer module;
-    private final PrintStream out;
+    private final Consumer<String> out;
     private final HostPool hosts;
     private final Discovery discovery;
     private final Settings settings;
@@ -166,9 +165,10 @@
     private final long startedAt;
     private final HostStarts starts;
 
-    /** Starts the module; on the loop's thread. The clock runs in nanoseconds from any origin. */
+    /** Starts the module; on the loop's thread. The clock runs in nanoseconds from any origin.
+        {@code out} takes lines of the log, and must not block. */
     Gateway(Config config, EventLoop loop, LongSupplier nanoTime, Balancer module, Tally tally, int hostConnections,
-            int openMost, PrintStream out) {
+            int openMost, Consumer<String> out) {
         this.loop = loop;
         this.nanoTime = nanoTime;
         startedAt = System.currentTimeMillis() * 1000 - nanoTime.getAsLong() / 1000;
@@ -599,6 +599,6 @@
 
     @Override
     public void log(String line) {
-        out.println(line.replace('\n', ' '));
+        out.accept(line);
     }
 }
--- /dev/null
+++ b/src/main/java/mastdrift/net/LogWriter.java
@@ -0,0 +1,132 @@
+package mastdrift.net;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.WritableByteChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+
+/** Writes the log on a thread of its own, so that an output that blocks (a pipe that nobody reads, a disk that hangs) holds up
+    the log alone. Lines wait in a bounded queue. A line that finds no room, or that the output refuses, is dropped; how many
+    were dropped is counted and told ahead of the next line that is written. Lines may come from any thread. */
+final class LogWriter implements Consumer<String> {
+
+    /** Of lines that wait to be written, in characters. */
+    static final int QUEUE_CHARS_MOST = 256 << 10;
+    private static final int ENTRY_CHARS = 64;  // what an entry takes besides its text, so that empty lines are bounded too
+    private static final long FULL_RETRY_MILLIS = 10;  // an output that doesn't block takes nothing at the moment
+
+    /** A line to be written, or a mark behind which a caller waits. */
+    private record Entry(String line, CountDownLatch reached) {
+
+        int chars() {
+            return line == null ? 0 : line.length() + ENTRY_CHARS;
+        }
+    }
+
+    private final WritableByteChannel output;
+    private final Runnable onDrop;
+    private final Queue<Entry> queue = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger queuedChars = new AtomicInteger();
+    private final AtomicLong dropped = new AtomicLong();
+    private final Thread thread = new Thread(this::run, "log-writer");
+    // Of the writer's thread alone.
+    private long droppedTold;
+    private boolean lineCut;  // the output ends in a part of a line
+
+    private LogWriter(WritableByteChannel output, Runnable onDrop) {
+        this.output = output;
+        this.onDrop = onDrop;
+    }
+
+    /** Starts to write to that output; {@code onDrop} runs for each line that is dropped, on any thread. */
+    static LogWriter start(WritableByteChannel output, Runnable onDrop) {
+        LogWriter writer = new LogWriter(output, onDrop);
+        writer.thread.setDaemon(true);
+        writer.thread.start();
+        return writer;
+    }
+
+    /** As {@link #start}, to the process's standard output or error. */
+    static LogWriter to(FileDescriptor descriptor, Runnable onDrop) {
+        return start(new FileOutputStream(descriptor).getChannel(), onDrop);
+    }
+
+    /** Takes a line for writing, or drops it; never waits. */
+    @Override
+    public void accept(String line) {
+        Entry entry = new Entry(line.replace('\n', ' '), null);
+        if (queuedChars.addAndGet(entry.chars()) > QUEUE_CHARS_MOST) {
+            queuedChars.addAndGet(-entry.chars());
+            drop();
+            return;
+        }
+        add(entry);
+    }
+
+    /** Waits until all lines that were taken before are written or dropped, at most for so long; whether they are. */
+    boolean flush(long millis) throws InterruptedException {
+        CountDownLatch reached = new CountDownLatch(1);
+        add(new Entry(null, reached));
+        return reached.await(millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void add(Entry entry) {
+        queue.add(entry);
+        LockSupport.unpark(thread);
+    }
+
+    private void drop() {
+        dropped.incrementAndGet();
+        onDrop.run();
+    }
+
+    private void run() {
+        while (true) {
+            Entry entry = queue.poll();
+            if (entry == null) {
+                LockSupport.park(this);
+            } else if (entry.line != null) {
+                writeLine(entry.line);
+                queuedChars.addAndGet(-entry.chars());
+            } else {
+                entry.reached.countDown();
+            }
+        }
+    }
+
+    private void writeLine(String line) {
+        long droppedNow = dropped.get();
+        if (droppedNow > droppedTold && write("event=log_lines_dropped lines=" + (droppedNow - droppedTold))) {
+            droppedTold = droppedNow;
+        }
+        if (!write(line)) {
+            drop();
+        }
+    }
+
+    private boolean write(String line) {
+        ByteBuffer bytes = StandardCharsets.UTF_8.encode((lineCut ? "\n" : "") + line + "\n");
+        try {
+            while (bytes.hasRemaining()) {
+                if (output.write(bytes) == 0) {
+                    LockSupport.parkNanos(this, TimeUnit.MILLISECONDS.toNanos(FULL_RETRY_MILLIS));
+                }
+            }
+            lineCut = false;
+            return true;
+        } catch (IOException refused) {
+            lineCut |= bytes.position() > 0;
+            return false;
+        }
+    }
+}
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -4,8 +4,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.FileDescriptor;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.FileSystemException;
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -33,6 +34,8 @@
     private static final int LISTEN_TRIES = 50;
     private static final long LISTEN_RETRY_MILLIS = 100;
     private static final int READ_TRIES = 20;
+    // The end of the process waits so long for an output that takes no lines; it comes before the platform's SIGKILL.
+    private static final long LOG_FLUSH_MILLIS = 100;
     private static final String REHEARSE = "rehearse";
 
     /** The library's log, made when it is first asked for: that takes longer than a signal may be left unheard. */
@@ -63,24 +66,39 @@
             InetSocketAddress admin = config.admin() == null ? null
                     : Admin.open(config.admin(), loop(), life, tally).address();
             boolean build = List.of(args).contains(REHEARSE);
-            Rehearsal.play(config, admin, build, loop(), System.out);
+            LogWriter log = LogWriter.to(FileDescriptor.out, () -> tally.add(Tally.Count.LOG_LINES_DROPPED));
+            Rehearsal.play(config, admin, build, loop(), log);
             if (build) {
-                System.exit(0);
+                log.flush(LOG_FLUSH_MILLIS);
+                System.exit(0);  // a halt would leave no archive
             }
             if (admin != null) {
-                System.out.println("operators may call " + admin);
+                log.accept("operators may call " + admin);
             }
-            ClientSide clients = prepare(config, loop, System::nanoTime, life, tally, System.out);
+            ClientSide clients = prepare(config, loop, System::nanoTime, life, tally, log);
             reloader.complete(reloader(clients.gateway(), loop));
             // Before the first request can come: from then on an end without this would lose what was taken.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients, log)));
             awaitFirstList(clients.gateway(), FIRST_LIST_MILLIS);
-            listen(clients, config, passed, loop, life, System.out);
+            listen(clients, config, passed, loop, life, log);
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
-            System.err.println("can't start: " + cause.getMessage());
-            Runtime.getRuntime().halt(2);  // there is nothing to finish
+            LogWriter errors = LogWriter.to(FileDescriptor.err, () -> { });
+            errors.accept("can't start: " + cause.getMessage());
+            end(errors, 2);  // there is nothing to finish
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends the process with that status, once the log is written or its output has taken nothing for a moment. */
+    private static void end(LogWriter log, int status) {
+        try {
+            log.flush(LOG_FLUSH_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
+        Runtime.getRuntime().halt(status);
     }
 
     /** As the file has it; one that can't be opened for a moment is tried again. Throws IllegalArgumentException. */
@@ -107,20 +125,20 @@
     private static Reloader reloader(Gateway gateway, EventLoop loop) {
         return new Reloader(() -> Config.discovery(System.getenv()), discovery -> {
             gateway.tally().add(Tally.Count.RELOADS_OK);
-            handOver(loop, () -> gateway.discoverAt(discovery));
+            handOver(loop, () -> gateway.discoverAt(discovery), gateway::log);
         }, cause -> {
             gateway.tally().add(Tally.Count.RELOADS_FAILED);
-            System.out.println("configuration not taken: " + cause);
+            gateway.log("configuration not taken: " + cause);
         });
     }
 
     /** Has the loop do it. Where the system fails to wake the loop up, the task is in its queue all the same, and is done as
         soon as the loop turns by itself. */
-    private static void handOver(EventLoop loop, Runnable task) {
+    private static void handOver(EventLoop loop, Runnable task, Consumer<String> log) {
         try {
             loop.execute(task);
         } catch (InternalError notWoken) {
-            System.out.println("the event loop was not woken: " + notWoken.getMessage());
+            log.accept("the event loop was not woken: " + notWoken.getMessage());
         }
     }
 
@@ -153,7 +171,7 @@
     /** Starts a gateway on the loop that nobody reaches yet; the clock runs in nanoseconds from any origin. Throws
         IllegalArgumentException for settings it can't run with. */
     static ClientSide prepare(Config config, EventLoop loop, LongSupplier nanoTime, Life life, Tally tally,
-            PrintStream out) {
+            Consumer<String> out) {
         int most = connectionsMost(config.sockets());
         return CompletableFuture.supplyAsync(() -> {
             Gateway gateway = new Gateway(config, loop, nanoTime, new Balance(), tally, most, openMost(most), out);
@@ -171,10 +189,10 @@
 
     /** Lets clients come, on the passed socket where there is one; throws IllegalArgumentException where that can't be. */
     static void listen(ClientSide clients, Config config, ServerSocketChannel passed, EventLoop loop, Life life,
-            PrintStream out) {
+            Consumer<String> out) {
         ChannelFuture listening = begin(clients, config, passed);
         for (int tries = 1; !listening.isSuccess() && tries < LISTEN_TRIES; tries++) {
-            out.println("not listening yet on " + config.listen() + ": " + listening.cause().getMessage());
+            out.accept("not listening yet on " + config.listen() + ": " + listening.cause().getMessage());
             rest();
             listening = begin(clients, config, passed);
         }
@@ -182,7 +200,7 @@
             throw new IllegalArgumentException("no listening on " + config.listen() + ": "
                     + listening.cause().getMessage(), listening.cause());
         }
-        out.println("listening on " + clients.address());
+        out.accept("listening on " + clients.address());
         life.started(() -> loop.execute(clients::drainOrNot));
     }
 
@@ -199,16 +217,16 @@
     }
 
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
-    private static void stop(EventLoop loop, ClientSide clients) {
-        System.out.println("stopping");
+    private static void stop(EventLoop loop, ClientSide clients, LogWriter log) {
+        log.accept("stopping");
         CountDownLatch answered = new CountDownLatch(1);
-        handOver(loop, () -> clients.stop(answered::countDown));
+        handOver(loop, () -> clients.stop(answered::countDown), log);
         try {
             boolean all = answered.await(STOP_SECONDS, TimeUnit.SECONDS);
-            System.out.println(all ? "stopped" : "stopped with requests unanswered");
+            log.accept(all ? "stopped" : "stopped with requests unanswered");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        Runtime.getRuntime().halt(0);
+        end(log, 0);
     }
 }
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -20,8 +20,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -29,6 +27,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import mastdrift.Balance;
 import mastdrift.Balancer.Health;
@@ -53,7 +52,8 @@
 
     /** Plays it once, with operators' calls at {@code admin} where they may call; a rehearsal that goes wrong costs speed
         alone. Long bodies are for the build alone, for the archive's sake: a start has no time for them. */
-    static void play(Config config, InetSocketAddress admin, boolean longToo, EventLoop loop, PrintStream out) {
+    static void play(Config config, InetSocketAddress admin, boolean longToo, EventLoop loop,
+            Consumer<String> out) {
         InetSocketAddress any = new InetSocketAddress(config.listen().getAddress(), 0);
         try {
             Channel host = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -69,10 +69,9 @@
                     new Host("rehearsal-" + i, config.settings().site().zone(), 0, "", 1, Health.UP, 0), at)).toList();
             Config rehearsed = new Config(any, false, null, at, config.sockets(), new HostList(0, true, hosts),
                     config.settings());
-            PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
             Life life = new Life();
             ClientSide clients = CompletableFuture.supplyAsync(() -> new ClientSide(loop, new Gateway(rehearsed, loop,
-                    System::nanoTime, new Balance(), rehearsed.tally(), HOSTS * 2, HOSTS, silent), config.settings(), HOSTS, life), loop)
+                    System::nanoTime, new Balance(), rehearsed.tally(), HOSTS * 2, HOSTS, line -> { }), config.settings(), HOSTS, life), loop)
                     .join();
             clients.listen(any).sync();
             life.started(() -> { });
@@ -82,7 +81,7 @@
                 call(admin, "GET /status/metrics");
             }
         } catch (IOException | ChannelException e) {
-            out.println("rehearsal ended early: " + e);
+            out.accept("rehearsal ended early: " + e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -97,7 +97,7 @@
         try (Server discovery = discovery()) {
             Config config = Config.read(environment(folder, discovery, list(1, true), SETTINGS));
             loop.submit(() -> new Gateway(config, loop, System::nanoTime, module, config.tally(), 8, 8, new PrintStream(log,
-                    true, StandardCharsets.UTF_8)).take(client, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                    true, StandardCharsets.UTF_8)::println).take(client, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     HttpMethod.GET, "/api"), null, "read", "acme", null, left, false, 0)).sync();
         }
     }
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -395,7 +395,7 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (Server discovery = discovery(); Server one = host("one")) {
             Config config = Config.read(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
-            Rehearsal.play(config, null, longToo, Main.loop(), new PrintStream(out, true, StandardCharsets.UTF_8));
+            Rehearsal.play(config, null, longToo, Main.loop(), new PrintStream(out, true, StandardCharsets.UTF_8)::println);
             assertEquals("", out.toString(StandardCharsets.UTF_8));
             assertTrue(one.accepted.isEmpty() && discovery.accepted.isEmpty());
         }
--- /dev/null
+++ b/src/test/java/mastdrift/net/LogOutputTest.java
@@ -0,0 +1,155 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.host;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes whose standard output takes nothing. */
+class LogOutputTest {
+
+    private static final int LIFE_SECONDS = 60;
+    private static final int REQUESTS = 14;
+    // Fills the pipe by bytes, without waiting where it is full.
+    private static final String FILL = "dd if=/dev/zero of=/dev/stdout oflag=nonblock bs=1 count=4000000 2>/dev/null; ";
+
+    @TempDir
+    private Path folder;
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** A gateway whose discovery is away, so that it has something to log again and again. */
+    private Process start(String before, String redirect, int port, int adminPort, Server host) throws IOException {
+        Server away = discovery();
+        Map<String, String> environment = new HashMap<>(environment(folder, away,
+                list(1, true, entry("s1", host.address(), "a", "in_service")), SETTINGS));
+        away.close();
+        environment.put("NODE_LISTEN", "127.0.0.1:" + port);
+        environment.put("NODE_ADMIN", "127.0.0.1:" + adminPort);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", before + "exec \"$0\" -cp \"$1\" mastdrift.net.Main"
+                + redirect, System.getProperty("java.home") + "/bin/java", System.getProperty("java.class.path"));
+        builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
+        builder.environment().putAll(environment);
+        return builder.start();
+    }
+
+    private static Loopback.Message ask(int port, String request) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", port));
+            socket.setSoTimeout(Loopback.WAIT_SECONDS * 1000);
+            write(socket, request);
+            return Loopback.read(socket);
+        }
+    }
+
+    /** Waits until it serves; throws where it does not within the life of a test. */
+    private static void awaitReady(int port) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIFE_SECONDS);
+        while (System.nanoTime() < until) {
+            try {
+                if (ask(port, "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n").status() == 200) {
+                    return;
+                }
+            } catch (IOException notYet) {
+                Thread.sleep(20);
+            }
+        }
+        throw new AssertionError("never ready");
+    }
+
+    private static void assertServes(int port) throws IOException {
+        for (int i = 0; i < REQUESTS; i++) {
+            Loopback.Message answer = ask(port, read(20_000));
+            assertEquals("one", answer == null ? "no answer" : answer.text());
+        }
+    }
+
+    private static void assertEndsInOrder(Process process) throws InterruptedException {
+        process.destroy();
+        assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    /** Guards against a gateway that a full pipe stops: at its start, under requests, and at its end. */
+    @Test
+    void aLogThatNobodyReadsHoldsUpNoRequestAndNoStop() throws Exception {
+        int port = freePort();
+        try (Server one = host("one")) {
+            Process process = start(FILL, "", port, freePort(), one);
+            try {
+                awaitReady(port);
+                assertServes(port);
+                assertEndsInOrder(process);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** Guards against a log that stays silent once its reader has come back. */
+    @Test
+    void aReaderThatComesBackGetsTheLog() throws Exception {
+        int port = freePort();
+        try (Server one = host("one")) {
+            Process process = start(FILL, "", port, freePort(), one);
+            try {
+                awaitReady(port);
+                BufferedReader log = process.inputReader(StandardCharsets.UTF_8);
+                while (!log.readLine().contains("listening on")) {
+                    assertTrue(process.isAlive());
+                }
+                assertServes(port);
+                assertEndsInOrder(process);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** Guards against a gateway that a full disk stops; lines that are lost are counted. */
+    @Test
+    void aLogThatCantBeWrittenHoldsUpNothingAndIsCounted() throws Exception {
+        int port = freePort();
+        int adminPort = freePort();
+        try (Server one = host("one")) {
+            Process process = start("", " > /dev/full", port, adminPort, one);
+            try {
+                awaitReady(port);
+                assertServes(port);
+                String metrics = ask(adminPort, "GET /status/metrics HTTP/1.1\r\nHost: s\r\n\r\n").text();
+                long lost = Stream.of(metrics.split("\n")).filter(line -> line.startsWith("edge_node_log_lines_dropped_total "))
+                        .mapToLong(line -> Long.parseLong(line.split(" ")[1])).sum();
+                assertTrue(lost > 0, metrics);
+                assertEndsInOrder(process);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/mastdrift/net/LogWriterTest.java
@@ -0,0 +1,119 @@
+package mastdrift.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.WritableByteChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** The log's own thread, its bound, and outputs that block, refuse or take only parts of lines. */
+class LogWriterTest {
+
+    private static final long FLUSH_MILLIS = TimeUnit.SECONDS.toMillis(Loopback.WAIT_SECONDS);
+
+    private final AtomicInteger dropped = new AtomicInteger();
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+
+    /** How an output takes what it is given. */
+    private interface Takes {
+        int take(ByteBuffer bytes) throws IOException;
+    }
+
+    private LogWriter writer(Takes output) {
+        return LogWriter.start(new WritableByteChannel() {
+            @Override
+            public int write(ByteBuffer bytes) throws IOException {
+                return output.take(bytes);
+            }
+
+            @Override
+            public boolean isOpen() {
+                return true;
+            }
+
+            @Override
+            public void close() { }
+        }, dropped::incrementAndGet);
+    }
+
+    private int take(ByteBuffer bytes, int most) {
+        int count = Math.min(most, bytes.remaining());
+        byte[] part = new byte[count];
+        bytes.get(part);
+        written.writeBytes(part);
+        return count;
+    }
+
+    private List<String> lines() {
+        return written.toString(StandardCharsets.UTF_8).lines().toList();
+    }
+
+    /** Guards against callers that wait for an output that blocks, and against lines that fill the memory meanwhile. */
+    @Test
+    void linesThatAnOutputDoesNotTakeAreBoundedDroppedAndTold() throws Exception {
+        CountDownLatch reader = new CountDownLatch(1);
+        LogWriter writer = writer(bytes -> {
+            try {
+                reader.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            return take(bytes, Integer.MAX_VALUE);
+        });
+        int total = 3 * LogWriter.QUEUE_CHARS_MOST / 1000;
+        for (int i = 0; i < total; i++) {
+            writer.accept(String.format("%01000d", i));
+        }
+        assertFalse(writer.flush(1));
+        int kept = total - dropped.get();
+        assertTrue(kept > 0 && kept <= LogWriter.QUEUE_CHARS_MOST / 1000, "kept " + kept);
+        reader.countDown();
+        assertTrue(writer.flush(FLUSH_MILLIS));
+        writer.accept("the next");
+        assertTrue(writer.flush(FLUSH_MILLIS));
+        assertEquals(kept + 2, lines().size());
+        assertEquals(1, lines().stream().filter(("event=log_lines_dropped lines=" + dropped.get())::equals).count());
+        assertEquals("the next", lines().get(kept + 1));
+    }
+
+    /** Guards against an end of the log for good, and against lines that run into each other, where a write fails. */
+    @Test
+    void aLineThatTheOutputRefusesIsToldAndTheNextBeginsAnew() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        LogWriter writer = writer(bytes -> {
+            if (calls.incrementAndGet() == 2) {
+                return take(bytes, 3);
+            }
+            if (calls.get() == 3) {
+                throw new IOException("No space left on device");
+            }
+            return take(bytes, Integer.MAX_VALUE);
+        });
+        for (String line : List.of("first", "second", "third")) {
+            writer.accept(line);
+        }
+        assertTrue(writer.flush(FLUSH_MILLIS));
+        assertEquals(List.of("first", "sec", "event=log_lines_dropped lines=1", "third"), lines());
+        assertEquals(1, dropped.get());
+    }
+
+    /** Guards against half lines where the output takes some bytes, or none for a moment. */
+    @Test
+    void anOutputMayTakeALineInParts() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        LogWriter writer = writer(bytes -> calls.incrementAndGet() % 2 == 0 ? 0 : take(bytes, 4));
+        writer.accept("two\nlines are one");
+        assertTrue(writer.flush(FLUSH_MILLIS));
+        assertEquals(List.of("two lines are one"), lines());
+        assertEquals(0, dropped.get());
+    }
+}
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -314,9 +314,9 @@
             Tally tally = config.tally();
             admin = config.admin() == null ? null : Admin.open(config.admin(), adminLoop, life, tally);
             PrintStream out = new PrintStream(log, true, StandardCharsets.UTF_8);
-            clients = Main.prepare(config, loop, () -> System.nanoTime() + ahead.get(), life, tally, out);
+            clients = Main.prepare(config, loop, () -> System.nanoTime() + ahead.get(), life, tally, out::println);
             Main.awaitFirstList(clients.gateway(), TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-            Main.listen(clients, config, passed, loop, life, out);
+            Main.listen(clients, config, passed, loop, life, out::println);
         }
 
         /** Has the gateway's clock jump; what it has scheduled already comes when it would have come. */
