Call accept on a thread of its own, so that a call that never returns holds up nobody

What callers saw: while the system answers accept with ECONNABORTED the gateway answered nobody, on open connections either, and began attempts late. The stop does not close the socket while a call is out, since the close would wait for it. The rig's check of late answers allows for time in which a fault fails every accept, for new connections alone: what is written there nobody can read.

--- a/rig/src/main/java/mastdrift/rig/Fault.java
+++ b/rig/src/main/java/mastdrift/rig/Fault.java
@@ -85,6 +85,8 @@
         }
         if (systemCall != null) {
             facts.put("system_call", systemCall.rule(Math.round(size)));
+            facts.put("call", systemCall.call().name().toLowerCase(java.util.Locale.ROOT));
+            facts.put("rate", systemCall.rate());
         }
         return facts;
     }
--- a/rig/src/main/java/mastdrift/rig/Load.java
+++ b/rig/src/main/java/mastdrift/rig/Load.java
@@ -212,6 +212,7 @@
         private boolean written;
         private boolean over;
         private boolean last;  // on its connection, which is its own
+        private boolean reused;  // its connection, by which an answer has come before
         private Channel channel;
 
         Shot(long due) {
@@ -250,8 +251,9 @@
             });
         }
 
-        void write(Channel to) {
+        void write(Channel to, boolean used) {
             channel = to;
+            reused = used;
             ByteBuf body = type.safe ? Unpooled.EMPTY_BUFFER : Unpooled.copiedBuffer("x".repeat(200), StandardCharsets.UTF_8);
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, type.safe ? HttpMethod.GET
                     : HttpMethod.POST, "/api", body);
@@ -317,7 +319,7 @@
             if (sentAt > 0) {
                 facts.put("sent_at", sentAt);
             }
-            facts.put("fresh", last);
+            facts.put("reused", reused);
             if (before != null) {
                 facts.put("before", before);
                 facts.put("cut_at", cutAt);
@@ -348,7 +350,7 @@
         void take(Shot next, boolean used) {
             shot = next;
             reused = used;
-            next.write(channel);
+            next.write(channel, used);
         }
 
         @Override
--- a/rig/src/test/java/mastdrift/rig/ChecksTest.java
+++ b/rig/src/test/java/mastdrift/rig/ChecksTest.java
@@ -63,6 +63,22 @@
         assertTrue(look("rules").held());
     }
 
+    /** Guards against blame for what nobody could read, and against an excuse for what was read: only new connections wait for
+        accept, and only where each call fails. */
+    @Test
+    void whoseConnectionCouldNotBeAcceptedWaitsForThat() {
+        add(1_000_000, 1_700_000, "rig", "fault", "kind", "system_call", "call", "accept", "rate", 0.9, "processes",
+                List.of("gateway-1"));
+        answer(1_000_000, 1_800_000);
+        breaks("rules", "late_answer: 7 by gateway-1 700 ms");
+        add(1_000_000, 1_700_000, "rig", "fault", "kind", "system_call", "call", "accept", "rate", 1.0, "processes",
+                List.of("gateway-1"));
+        assertTrue(look("rules").held());
+        add(1_000_000, 1_800_000, "clients", "request", "trace", "8", "outcome", "served", "class", "consulta", "gateway",
+                "gateway-1", "status", 200, "deadline_ms", 100, "sent_at", 1_000_000, "reused", true);
+        breaks("rules", "late_answer: 8 by gateway-1 700 ms");
+    }
+
     @Test
     void overlappingWritesMayTakeEffectInEitherOrder() {
         put(1, 10, "a", 5);
--- a/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
+++ b/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
@@ -155,6 +155,17 @@
         assertTrue(logOf(1).contains("event=loop_late") && logOf(1).contains("cause=blocked"), logOf(1));
     }
 
+    /** Guards against a loop that one call holds for as long as the system goes on failing it. */
+    @Test
+    void anAcceptThatIsAbortedWithoutEndHoldsUpNobody() throws Exception {
+        Play.Outcome outcome = play(fault("accept", "ECONNABORTED", 1, "any"));
+        assertHeld(outcome);
+        assertTrue(injected(1, "accept") > 0);
+        for (int gateway = 1; gateway <= GATEWAYS; gateway++) {
+            assertFalse(logOf(gateway).contains("event=loop_late") && logOf(gateway).contains("longest_task=accept"), logOf(gateway));
+        }
+    }
+
     @Test
     void anUnknownErrorIsNamedWithFileLineAndKey() {
         TomlFile.Faults faults = assertThrows(TomlFile.Faults.class, () -> PlanFile.parse("""
--- a/src/main/java/mastdrift/net/Listener.java
+++ b/src/main/java/mastdrift/net/Listener.java
@@ -30,6 +30,7 @@
     private final LongSupplier clock;
     private final Consumer<Exception> failures;
     private final LongConsumer accepted;
+    private final Acceptor acceptor = new Acceptor(this::acceptedLate);
     private boolean wanted = true;
     private boolean resting;
     private boolean draining;  // the queue has been met with a connection and not with its end
@@ -62,8 +63,12 @@
         apply();
     }
 
+    private boolean accepts() {
+        return wanted && !resting && !acceptor.stuck();
+    }
+
     private void apply() {
-        boolean accepts = wanted && !resting;
+        boolean accepts = accepts();
         if (!accepts) {
             block();
         } else if (blocked && isRegistered()) {
@@ -82,7 +87,7 @@
 
     /** What has not been met by now came later; while some are met the queue tells its end itself. */
     private void unblockUnlessPaused() {
-        if (wanted && !resting && !draining) {
+        if (accepts() && !draining) {
             blocked = false;
         }
     }
@@ -104,6 +109,11 @@
         for (int tries = 1; true; tries++) {
             try {
                 int taken = take(into);
+                if (acceptor.stuck()) {
+                    failures.accept(new IOException("accept has not returned"));
+                    apply();
+                    return 0;
+                }
                 if (taken > 0 || !told || tries == TRIES_AT_ONCE) {
                     return taken;
                 }
@@ -122,17 +132,43 @@
 
     /** One connection, if there is one; how many were taken. */
     private int take(List<Object> into) throws IOException {
-        SocketChannel accepted = javaChannel().accept();
+        SocketChannel accepted = acceptor.accept(javaChannel());
         if (accepted == null) {
             draining = false;
-            blocked = false;
+            blocked = acceptor.stuck();
             return 0;
         }
         draining = true;
+        into.add(connection(accepted));
+        return 1;
+    }
+
+    private TcpChannel connection(SocketChannel accepted) throws IOException {
         TcpChannel connection = TcpChannel.accepted(this, accepted);
         connection.mayHaveWaited(blocked ? clock.getAsLong() - blockedSince : 0);
-        into.add(connection);
-        return 1;
+        return connection;
+    }
+
+    /** A call has returned that was not waited for any more; on the thread that accepts. */
+    private void acceptedLate(SocketChannel connection, Throwable failure) {
+        eventLoop().execute(() -> {
+            acceptor.heard();
+            try {
+                if (failure != null) {
+                    failures.accept(Acceptor.cause(failure));
+                } else if (connection != null) {
+                    pass(List.of(connection(connection)));
+                }
+            } catch (IOException | ChannelException e) {
+                failures.accept(e);
+            }
+            apply();
+        });
+    }
+
+    private void pass(List<?> connections) {
+        connections.forEach(pipeline()::fireChannelRead);
+        pipeline().fireChannelReadComplete();
     }
 
     private void rest() {
@@ -152,6 +188,12 @@
         closeBehindTheLast(most, LAST_TRIES);
     }
 
+    @Override
+    protected void doClose() throws Exception {
+        acceptor.close();
+        super.doClose();
+    }
+
     private void closeBehindTheLast(int most, int tries) {
         if (!isOpen()) {
             return;
@@ -166,10 +208,10 @@
             failures.accept(failure);
             failed = true;
         }
-        accepted.forEach(pipeline()::fireChannelRead);
-        pipeline().fireChannelReadComplete();
+        pass(accepted);
         int left = most - accepted.size();
-        if (failed && left > 0 && tries > 1) {
+        // A close would wait for a call that is stuck.
+        if (acceptor.stuck() || failed && left > 0 && tries > 1) {
             eventLoop().schedule(() -> closeBehindTheLast(left, tries - 1), RETRY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             close();
