Read what the selector does not watch, where the system had no memory to add it

What callers saw: a connection on which no request was ever answered; a listening socket that accepted nobody again. Cause: epoll_ctl(EPOLL_CTL_ADD) may fail with ENOMEM or ENOSPC. Where something lies there the socket is taken off and added again. One event is proof, so that sound connections are looked at until their first request. Connections to hosts and to discovery need nothing: their time-outs end them.

--- a/rig/src/main/c/syscall_faults.c
+++ b/rig/src/main/c/syscall_faults.c
@@ -6,8 +6,8 @@
  *
  *     call error rate side argument
  *
- *   call      accept, socket, connect, connect_result, read, write, epoll_wait, eventfd_read, eventfd_write, poll,
- *             setsockopt, getsockopt, shutdown, close, open, fsync, clock
+ *   call      accept, socket, connect, connect_result, read, write, epoll_add (EPOLL_CTL_ADD), epoll_wait, eventfd_read,
+ *             eventfd_write, poll, setsockopt, getsockopt, shutdown, close, open, fsync, clock
  *   error     the name of an errno value, or SHORT (moves at most `argument` bytes), EOF (end of stream), DELAY (waits
  *             `argument` milliseconds, then calls), STEP (the real-time clock is off by `argument` milliseconds)
  *   rate      the probability that a matching call is affected
@@ -46,10 +46,10 @@
 #define RULES_MOST 32
 #define DESCRIPTORS_MOST 65536
 
-enum call { ACCEPT, SOCKET, CONNECT, CONNECT_RESULT, READ, WRITE, EPOLL_WAIT, EVENTFD_READ, EVENTFD_WRITE, POLL, SETSOCKOPT,
+enum call { ACCEPT, SOCKET, CONNECT, CONNECT_RESULT, READ, WRITE, EPOLL_ADD, EPOLL_WAIT, EVENTFD_READ, EVENTFD_WRITE, POLL, SETSOCKOPT,
     GETSOCKOPT, SHUTDOWN, CLOSE, OPEN, FSYNC, CLOCK, CALLS };
 static const char *const CALL_NAMES[CALLS] = { "accept", "socket", "connect", "connect_result", "read", "write",
-    "epoll_wait", "eventfd_read", "eventfd_write", "poll", "setsockopt", "getsockopt", "shutdown", "close", "open", "fsync",
+    "epoll_add", "epoll_wait", "eventfd_read", "eventfd_write", "poll", "setsockopt", "getsockopt", "shutdown", "close", "open", "fsync",
     "clock" };
 
 enum side { ANY, CLIENT, UPSTREAM, EVENTFD, LOG };
@@ -433,6 +433,15 @@
     return NEXT(writev)(descriptor, vectors, count);
 }
 
+int epoll_ctl(int descriptor, int operation, int other, struct epoll_event *event)
+{
+    struct rule rule;
+    if (operation == EPOLL_CTL_ADD && affected(EPOLL_ADD, other, &rule)) {
+        return fail(&rule);
+    }
+    return NEXT(epoll_ctl)(descriptor, operation, other, event);
+}
+
 int epoll_wait(int descriptor, struct epoll_event *events, int most, int timeout)
 {
     struct rule rule;
--- a/rig/src/main/java/mastdrift/rig/SystemCall.java
+++ b/rig/src/main/java/mastdrift/rig/SystemCall.java
@@ -44,6 +44,7 @@
         READ(Error.SHORT, Error.EAGAIN, Error.EINTR, Error.ECONNRESET, Error.ETIMEDOUT, Error.EHOSTUNREACH, Error.EOF),
         WRITE(Error.SHORT, Error.EAGAIN, Error.EINTR, Error.EPIPE, Error.ECONNRESET, Error.ETIMEDOUT, Error.ENOBUFS,
                 Error.ENOMEM, Error.EIO, Error.ENOSPC, Error.DELAY),
+        EPOLL_ADD(Error.ENOMEM, Error.ENOSPC),
         EPOLL_WAIT(Error.EINTR, Error.DELAY),
         EVENTFD_READ(Error.EINTR, Error.EAGAIN),
         EVENTFD_WRITE(Error.EINTR, Error.EAGAIN),
--- a/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
+++ b/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
@@ -155,6 +155,15 @@
         assertTrue(logOf(1).contains("event=loop_late") && logOf(1).contains("cause=blocked"), logOf(1));
     }
 
+    /** Guards against connections that stay unread, and a listening socket that nobody looks at again: the system had no memory
+        to watch them. */
+    @Test
+    void whatTheSystemDoesNotWatchIsReadAllTheSame() throws Exception {
+        Play.Outcome outcome = play(fault("epoll_add", "ENOMEM", 0.1, "any") + fault("accept", "EMFILE", 0.3, "any"));
+        assertHeld(outcome);
+        assertTrue(injected(1, "epoll_add") > 0);
+    }
+
     /** Guards against a loop that one call holds for as long as the system goes on failing it. */
     @Test
     void anAcceptThatIsAbortedWithoutEndHoldsUpNobody() throws Exception {
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -258,6 +258,9 @@
         LoopMonitor monitor = gateway.monitor();
         monitor.look();
         long now = monitor.begin();
+        if (server != null) {
+            server.lookUnwatched();
+        }
         connections.all().forEach(connection -> connection.closeOverdue(now));
         connections.keep();  // whose bytes have been looked at since
         monitor.ended(LoopMonitor.Task.SWEEP, now);
@@ -366,6 +369,7 @@
                 return;  // it closes by itself
             }
             reading.pace();
+            reading.readUnwatched();
             if (!sending() && current == null && now - idleSince > idleMost) {
                 end();
             } else if (arrival.begun() && (current == null || coming != null)
--- a/src/main/java/mastdrift/net/Listener.java
+++ b/src/main/java/mastdrift/net/Listener.java
@@ -26,6 +26,8 @@
 
     // Behind a pause the loop has looked at the queue by then.
     private static final long LOOKED_MILLIS = 1;
+    // By then the selector has heard that nothing is wanted.
+    private static final long REARM_MILLIS = 1;
 
     private final LongSupplier clock;
     private final Consumer<Exception> failures;
@@ -33,6 +35,10 @@
     private final Acceptor acceptor = new Acceptor(this::acceptedLate);
     private boolean wanted = true;
     private boolean resting;
+    private boolean rearming;
+    private boolean watched;  // the selector has told of a connection since it was last asked to
+    private boolean looking;  // though the selector has told of nothing
+    private long lookedAt;
     private boolean draining;  // the queue has been met with a connection and not with its end
     private boolean blocked;  // connections may lie in the queue that came during a pause
     private long blockedSince;
@@ -64,11 +70,12 @@
     }
 
     private boolean accepts() {
-        return wanted && !resting && !acceptor.stuck();
+        return wanted && !resting && !rearming && !acceptor.stuck();
     }
 
     private void apply() {
         boolean accepts = accepts();
+        watched &= accepts && config().isAutoRead();
         if (!accepts) {
             block();
         } else if (blocked && isRegistered()) {
@@ -92,13 +99,45 @@
         }
     }
 
+    /** To be called now and then: looks at the queue where the selector has not told of anything since it was asked to. The
+        system may have had no memory to watch this socket, of which the JDK tells nobody. */
+    void lookUnwatched() {
+        long now = clock.getAsLong();
+        if (!watched && accepts() && isActive()) {
+            boolean wasBlocked = blocked;
+            blocked = true;
+            blockedSince = wasBlocked ? blockedSince : lookedAt;
+            draining = false;
+            looking = true;
+            unsafe().read();
+            looking = false;
+            blocked &= wasBlocked;
+        }
+        lookedAt = now;
+    }
+
+    /** Has the selector watch the socket anew. */
+    private void rearm() {
+        rearming = true;
+        apply();
+        eventLoop().schedule(() -> {
+            rearming = false;
+            apply();
+        }, REARM_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** A call that fails, or finds nothing where the system has told of a connection, is made again at once a few times; only
         then accepting rests. {@code into} holds what this turn of the loop has taken before. */
     @Override
     protected int doReadMessages(List<Object> into) throws Exception {
         long begunAt = clock.getAsLong();
+        watched |= !looking;
         try {
-            return acceptWithRetries(into);
+            int taken = acceptWithRetries(into);
+            if (taken > 0 && looking && !rearming) {
+                rearm();
+            }
+            return taken;
         } finally {
             accepted.accept(begunAt);
         }
--- a/src/main/java/mastdrift/net/ReadAhead.java
+++ b/src/main/java/mastdrift/net/ReadAhead.java
@@ -24,6 +24,8 @@
     // Of one connection, where the pieces are small: a client that never stops sending must not keep the loop.
     private static final int TURN_READS = 16;
     private static final long NEXT_TURN_MILLIS = 1;
+    // By then the selector has heard that nothing is wanted.
+    private static final long REARM_MILLIS = 1;
     // Of one connection whose reader pauses.
     private static final int AHEAD_MOST = 1 << 20;
 
@@ -52,6 +54,8 @@
     private boolean paused;
     private boolean dropping;
     private boolean due;
+    private boolean rearming;
+    private boolean watched;  // the selector has told of bytes since it was last asked to
     private int reads;  // in this turn of the loop
     private long readAt;  // the last time that there was something
 
@@ -105,6 +109,7 @@
             return;
         }
         ByteBuf bytes = paused ? compact((ByteBuf) message) : (ByteBuf) message;
+        watched |= !(from.channel() instanceof TcpChannel connection && connection.readsAhead());
         reads++;
         readAt = clock.getAsLong();
         held.add(bytes);
@@ -186,12 +191,31 @@
     void pace() {
         boolean room = !paused ? size < TURN_MOST
                 : size < AHEAD_MOST && group.held < group.most && departureMatters.getAsBoolean();
-        boolean reads = dropping || room;
+        boolean reads = !rearming && (dropping || room);
         if (reads != context.channel().config().isAutoRead()) {
+            watched = false;
             context.channel().config().setAutoRead(reads);
         }
     }
 
+    /** To be called now and then: reads where the selector has not told of anything since it was asked to, and has it watch
+        the connection anew where there is something. The system may have had no memory to watch it, of which the JDK tells
+        nobody. */
+    void readUnwatched() {
+        if (watched || rearming || holds() || !(context.channel() instanceof TcpChannel connection)) {
+            return;
+        }
+        connection.readNow();
+        if (holds()) {
+            rearming = true;
+            pace();
+            connection.eventLoop().schedule(() -> {
+                rearming = false;
+                pace();
+            }, REARM_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void release() {
         for (ByteBuf next = held.poll(); next != null; next = held.poll()) {
             count(-next.capacity());
--- a/src/main/java/mastdrift/net/TcpChannel.java
+++ b/src/main/java/mastdrift/net/TcpChannel.java
@@ -27,6 +27,7 @@
     private static final int ADOPT_TRIES = 100;
 
     private long mayHaveWaited;
+    private boolean readAhead;
 
     /** One that is to be connected. */
     TcpChannel() { }
@@ -62,10 +63,20 @@
         reading has paused. */
     void readNow() {
         if (isActive() && config().isAutoRead()) {
-            unsafe().read();
+            readAhead = true;
+            try {
+                unsafe().read();
+            } finally {
+                readAhead = false;
+            }
         }
     }
 
+    /** Whether what is being read was not told by the selector: it is {@link #readNow} that reads. */
+    boolean readsAhead() {
+        return readAhead;
+    }
+
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
         int read = super.doReadBytes(into);
