--- a/src/main/java/mastdrift/net/Listener.java
+++ b/src/main/java/mastdrift/net/Listener.java
@@ -32,7 +32,6 @@
     private final LongSupplier clock;
     private final Consumer<Exception> failures;
     private final LongConsumer accepted;
-    private final Acceptor acceptor = new Acceptor(this::acceptedLate);
     private boolean wanted = true;
     private boolean resting;
     private boolean rearming;
@@ -70,7 +69,7 @@
     }
 
     private boolean accepts() {
-        return wanted && !resting && !rearming && !acceptor.stuck();
+        return wanted && !resting && !rearming;
     }
 
     private void apply() {
@@ -148,11 +147,6 @@
         for (int tries = 1; true; tries++) {
             try {
                 int taken = take(into);
-                if (acceptor.stuck()) {
-                    failures.accept(new IOException("accept has not returned"));
-                    apply();
-                    return 0;
-                }
                 if (taken > 0 || !told || tries == TRIES_AT_ONCE) {
                     return taken;
                 }
@@ -171,43 +165,17 @@
 
     /** One connection, if there is one; how many were taken. */
     private int take(List<Object> into) throws IOException {
-        SocketChannel accepted = acceptor.accept(javaChannel());
+        SocketChannel accepted = javaChannel().accept();
         if (accepted == null) {
             draining = false;
-            blocked = acceptor.stuck();
+            blocked = false;
             return 0;
         }
         draining = true;
-        into.add(connection(accepted));
-        return 1;
-    }
-
-    private TcpChannel connection(SocketChannel accepted) throws IOException {
         TcpChannel connection = TcpChannel.accepted(this, accepted);
         connection.mayHaveWaited(blocked ? clock.getAsLong() - blockedSince : 0);
-        return connection;
-    }
-
-    /** A call has returned that was not waited for any more; on the thread that accepts. */
-    private void acceptedLate(SocketChannel connection, Throwable failure) {
-        eventLoop().execute(() -> {
-            acceptor.heard();
-            try {
-                if (failure != null) {
-                    failures.accept(Acceptor.cause(failure));
-                } else if (connection != null) {
-                    pass(List.of(connection(connection)));
-                }
-            } catch (IOException | ChannelException e) {
-                failures.accept(e);
-            }
-            apply();
-        });
-    }
-
-    private void pass(List<?> connections) {
-        connections.forEach(pipeline()::fireChannelRead);
-        pipeline().fireChannelReadComplete();
+        into.add(connection);
+        return 1;
     }
 
     private void rest() {
@@ -227,12 +195,6 @@
         closeBehindTheLast(most, LAST_TRIES);
     }
 
-    @Override
-    protected void doClose() throws Exception {
-        acceptor.close();
-        super.doClose();
-    }
-
     private void closeBehindTheLast(int most, int tries) {
         if (!isOpen()) {
             return;
@@ -247,10 +209,10 @@
             failures.accept(failure);
             failed = true;
         }
-        pass(accepted);
+        accepted.forEach(pipeline()::fireChannelRead);
+        pipeline().fireChannelReadComplete();
         int left = most - accepted.size();
-        // A close would wait for a call that is stuck.
-        if (acceptor.stuck() || failed && left > 0 && tries > 1) {
+        if (failed && left > 0 && tries > 1) {
             eventLoop().schedule(() -> closeBehindTheLast(left, tries - 1), RETRY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             close();
