--- a/src/main/java/mastdrift/net/Admin.java
+++ b/src/main/java/mastdrift/net/Admin.java
@@ -37,7 +37,7 @@
     /** Out of the descriptors that the program keeps for itself. */
     static final int CONNECTIONS_MOST = 12;
     private static final long CALL_MILLIS = 1500;  // a call that isn't whole by then gets a close
-    private static final int BODY_MOST = 4 << 10;  // no call has a body that counts
+    private static final int BODY_BYTES_MOST = 4 << 10;  // no call has a body that counts
 
     private final EventLoop loop;
     private final Life life;
@@ -62,7 +62,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         admin.came(channel);
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST, true),
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_BYTES_MOST, true),
                                 admin.new Call());
                     }
                 }).bind(at).awaitUninterruptibly();
--- a/src/main/java/mastdrift/net/Arrival.java
+++ b/src/main/java/mastdrift/net/Arrival.java
@@ -7,10 +7,10 @@
 final class Arrival {
 
     /** A head has to be there by then, from its first byte or, on a connection's first request, from its coming. */
-    static final long HEAD_IN = 2_600_000;
+    static final long HEAD_IN_MICROS = 2_600_000;
     // Half of the pace that clients keep is borne, in microseconds a byte, and so is a pause.
-    private static final double BODY_PACE = 1e6 / 32_000;
-    private static final long BODY_PAUSE = 2_000_000;
+    private static final double BODY_MICROS_A_BYTE = 1e6 / 32_000;
+    private static final long BODY_PAUSE_MICROS = 2_000_000;
 
     private long since;  // the first byte, 0 while there is no part of a request
     private long readAt;
@@ -50,8 +50,8 @@
         came, or 0 where that has been asked on before. */
     boolean overdue(long now, long came, long bytes) {
         long taken = now - (came == 0 ? since : came);
-        boolean slow = taken > HEAD_IN + bytes * BODY_PACE;
-        boolean stalled = taken > HEAD_IN && now - readAt > BODY_PAUSE;
+        boolean slow = taken > HEAD_IN_MICROS + bytes * BODY_MICROS_A_BYTE;
+        boolean stalled = taken > HEAD_IN_MICROS && now - readAt > BODY_PAUSE_MICROS;
         return begun() && pausedAt == 0 && (slow || stalled);
     }
 }
--- a/src/main/java/mastdrift/net/Assembler.java
+++ b/src/main/java/mastdrift/net/Assembler.java
@@ -19,15 +19,15 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
-/** Puts messages together from what a codec reads. One whose body is within HELD_MOST is passed on whole; a longer one
+/** Puts messages together from what a codec reads. One whose body is within HELD_BYTES_MOST is passed on whole; a longer one
     as soon as that is known, with a relay for the rest of it. A message that can't be read, or whose body is too long, is
     passed on as such, unless its relay has begun: then that fails. */
 final class Assembler extends SimpleChannelInboundHandler<HttpObject> {
 
     /** Kept whole, so that it can be sent again. */
-    static final int HELD_MOST = 64 << 10;
+    static final int HELD_BYTES_MOST = 64 << 10;
     /** No body is longer. */
-    static final long BODY_MOST = 32L << 20;
+    static final long BODY_BYTES_MOST = 32L << 20;
     private static final int COMPONENTS_MOST = 1024;
 
     /** A message with what has come of its body, to be released by who gets it; whole where there is no rest. */
@@ -80,14 +80,14 @@
         Throwable fault = message.decoderResult().cause();
         length = fault != null || HttpUtil.isTransferEncodingChunked(message) ? -1
                 : HttpUtil.getContentLength(message, -1L);
-        if (fault != null || length > BODY_MOST) {
+        if (fault != null || length > BODY_BYTES_MOST) {
             pass(context, fault != null ? fault : tooLong(), null);
             return;
         }
         if (message instanceof HttpRequest && HttpUtil.is100ContinueExpected(message)) {
             context.fireUserEventTriggered(Event.EXPECTS);
         }
-        if (message instanceof HttpRequest && length > HELD_MOST) {
+        if (message instanceof HttpRequest && length > HELD_BYTES_MOST) {
             relay(context);
         }
     }
@@ -99,7 +99,7 @@
     private void add(ChannelHandlerContext context, HttpContent content) {
         ByteBuf piece = content.content();
         bytes += piece.readableBytes();
-        Throwable fault = bytes > BODY_MOST ? tooLong() : content.decoderResult().cause();
+        Throwable fault = bytes > BODY_BYTES_MOST ? tooLong() : content.decoderResult().cause();
         boolean last = content instanceof LastHttpContent;
         if (rest != null) {
             if (piece.isReadable() && fault == null) {
@@ -118,7 +118,7 @@
             hold(context, piece);
             if (fault != null || last) {
                 pass(context, fault, null);
-            } else if (held.readableBytes() > HELD_MOST || length > HELD_MOST && held.isReadable()) {
+            } else if (held.readableBytes() > HELD_BYTES_MOST || length > HELD_BYTES_MOST && held.isReadable()) {
                 relay(context);
             }
         }
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -53,35 +53,35 @@
 /** The server that clients connect to: reads requests, refuses what is none, writes the final answers. */
 final class ClientSide {
 
-    private static final int BACKLOG = 1024;
-    private static final int PIPELINED_MOST = 8;
+    private static final int BACKLOG_CONNECTIONS = 1024;
+    private static final int PIPELINED_REQUESTS_MOST = 8;
     // A client that takes nothing of its answer for so long is gone.
     private static final int WRITE_SECONDS = 10;
     // Of the system, which else grows it to megabytes and asks for more only once a third of it is free: a client that
     // reads 64 kB a second would seem to take nothing for longer than that.
-    private static final int SEND_BUFFER = 128 << 10;
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
     // Of the memory for buffers, for what is read ahead of its turn.
-    private static final int AHEAD_MOST = 8 << 20;
+    private static final int AHEAD_BYTES_MOST = 8 << 20;
     // At a stop, new connections go on coming for a while before the front has noticed.
     static final long STOP_ACCEPTING_MILLIS = 500;
     // For so long, at the most, clients are served on the connections that they have, since other gateways may be away
     // as well; and all is answered so long after the longest deadline, before the program may be killed.
-    private static final long STOP_SERVING_MOST = 1_500_000;
-    private static final long STOP_ANSWERED = 400_000;
-    private static final long DEADLINE_COUNTED = 3_000_000;  // a longer one puts off the kill no further
+    private static final long STOP_SERVING_MICROS_MOST = 1_500_000;
+    private static final long STOP_ANSWERED_MICROS = 400_000;
+    private static final long DEADLINE_COUNTED_MICROS = 3_000_000;  // a longer one puts off the kill no further
     // What comes on a connection that is ended in order is read and dropped for so long, unless its client closes before.
     private static final long LINGER_MILLIS = 2000;
     /** Hundreds of connections may each hold a read and a write of this size. */
     static final WriteBufferWaterMark WRITE_SIZES = new WriteBufferWaterMark(16 << 10, 32 << 10);
-    private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
-    private static final long SWEEP_SPAN = LoopMonitor.SPAN;
+    private static final long IDLE_MICROS_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
+    private static final long SWEEP_SPAN_MICROS = LoopMonitor.SPAN_MICROS;
     // So much may a host be told beyond what is left to the client; the platform's slack is 0.15 s.
-    private static final long QUEUED_SLACK = 50_000;
+    private static final long QUEUED_SLACK_MICROS = 50_000;
     // A drain has 4 s to leave no client here. New connections come until the front has heard: answers tell clients to
     // leave from then on, and what nobody asks on by the second moment is closed.
     private static final long DRAIN_CLOSING_MILLIS = 500;
     private static final long DRAIN_IDLE_MILLIS = 1500;
-    private static final long DRAINED_IDLE_MOST = 250_000;
+    private static final long DRAINED_IDLE_MICROS_MOST = 250_000;
     private static final String TRACE = "X-Trace-Id";
     private static final String REPEAT_KEY = "Idempotency-Key";
     private static final String EXPIRES = HostPool.EXPIRES;
@@ -94,7 +94,7 @@
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final ConnectionLimit<Connection> connections;
-    private final ReadAhead.Group ahead = new ReadAhead.Group(AHEAD_MOST);
+    private final ReadAhead.Group ahead = new ReadAhead.Group(AHEAD_BYTES_MOST);
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Listener server;
     private boolean sweeping;
@@ -130,7 +130,8 @@
     }
 
     ChannelFuture listen(InetSocketAddress at) {
-        return listening(bootstrap().channelFactory(() -> new Listener(gateway::now, this::acceptFailed, this::accepted)).bind(at));
+        return listening(bootstrap().channelFactory(() -> new Listener(gateway::now, this::acceptFailed, this::accepted))
+                .bind(at));
     }
 
     /** Accepts from a socket that others listen on as well, before and after this gateway. */
@@ -147,7 +148,7 @@
         }
         if (!sweeping) {
             sweeping = true;
-            Periodic.every(loop, SWEEP_SPAN, this::closeOverdue, gateway::log);
+            Periodic.every(loop, SWEEP_SPAN_MICROS, this::closeOverdue, gateway::log);
         }
         return begun;
     }
@@ -171,9 +172,9 @@
 
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap().group(loop)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadAhead.sizes())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_SIZES)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -241,12 +242,12 @@
 
     /** From the stop until all is answered: before the kill, which comes 0.7 s and the longest deadline after it. */
     static long stopAnswered(long longestDeadline) {
-        return STOP_ANSWERED + Math.min(longestDeadline, DEADLINE_COUNTED);
+        return STOP_ANSWERED_MICROS + Math.min(longestDeadline, DEADLINE_COUNTED_MICROS);
     }
 
     /** From the stop until connections close, after which nothing more is taken: what came last has a third left. */
     static long stopServing(long longestDeadline) {
-        return Math.min(STOP_SERVING_MOST, stopAnswered(longestDeadline) * 2 / 3);
+        return Math.min(STOP_SERVING_MICROS_MOST, stopAnswered(longestDeadline) * 2 / 3);
     }
 
     /** Not those that are sending a request: it is answered, and then they close. */
@@ -327,7 +328,7 @@
 
         /** Requests wait in their order while there are enough. */
         private void pace() {
-            boolean takes = waiting.size() <= PIPELINED_MOST && (coming == null || !coming.full());
+            boolean takes = waiting.size() <= PIPELINED_REQUESTS_MOST && (coming == null || !coming.full());
             if (arrival.pause(!takes, gateway.now())) {
                 reading.pause(!takes);
             }
@@ -364,7 +365,7 @@
         /** Without a word: a 408 might cross a request, and be taken for its answer. */
         private void closeOverdue(long now) {
             boolean asked = !connections.silent(this);
-            long idleMost = drained ? DRAINED_IDLE_MOST : asked ? IDLE_MOST : Arrival.HEAD_IN;
+            long idleMost = drained ? DRAINED_IDLE_MICROS_MOST : asked ? IDLE_MICROS_MOST : Arrival.HEAD_IN_MICROS;
             if (over) {
                 return;  // it closes by itself
             }
@@ -575,8 +576,8 @@
                 id = trace;
                 long left = Math.min(expires * 1000, type.deadline()) - waited - queued();
                 long work = Math.max(0, number(headers.get("X-Size-Hint")));
-                Gateway.Exchange taken = gateway.take(this, message, currentRest, type.name(), tenant, key(headers.get("X-Object")), left,
-                        "1".equals(headers.get("X-Second-Try")), work);
+                Gateway.Exchange taken = gateway.take(this, message, currentRest, type.name(), tenant,
+                        key(headers.get("X-Object")), left, "1".equals(headers.get("X-Second-Try")), work);
                 if (taken != null) {  // or it has been answered, and the next one may have been taken already
                     exchange = taken;
                 }
@@ -590,7 +591,7 @@
                 return 0;
             }
             asked = true;
-            return Math.max(0, ((TcpChannel) channel).mayHaveWaited() - QUEUED_SLACK);
+            return Math.max(0, ((TcpChannel) channel).mayHaveWaited() - QUEUED_SLACK_MICROS);
         }
 
         /** Whether it goes on as it came: other than visible ASCII would be changed on the way. */
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -46,7 +46,7 @@
     private static final int MOVE_DIAL_MILLIS = 500;
     private static final int MOVE_PAUSE_MILLIS = 150;
     private static final int DIAL_MILLIS = 2000;
-    private static final int MOST = 4 << 20;
+    private static final int LIST_BYTES_MOST = 4 << 20;
 
     private final EventLoop loop;
     private InetSocketAddress at;
@@ -234,7 +234,7 @@
                 over = true;
                 ended(false);
             }
-            if (last || text.readableBytes() > MOST) {
+            if (last || text.readableBytes() > LIST_BYTES_MOST) {
                 context.close();
             }
         }
--- a/src/main/java/mastdrift/net/EventLog.java
+++ b/src/main/java/mastdrift/net/EventLog.java
@@ -39,7 +39,7 @@
         CLOCK_STEPPED
     }
 
-    private static final long SPAN = 1_000_000;
+    private static final long SPAN_MICROS = 1_000_000;
     private static final int LINES_A_SPAN = 5;
 
     private static final class Written {
@@ -62,7 +62,7 @@
     void add(Event event, Object... facts) {
         Written mine = written.computeIfAbsent(event, each -> new Written());
         long now = clock.getAsLong();
-        if (mine.lines == 0 || now - mine.since >= SPAN) {
+        if (mine.lines == 0 || now - mine.since >= SPAN_MICROS) {
             mine.since = now;
             mine.lines = 0;
         }
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -38,18 +38,18 @@
 final class Gateway implements Balancer.Actions {
 
     // The time left counts from the client's send and the answer has to travel: so much of it is kept back.
-    private static final long MARGIN = 5_000;
+    private static final long ANSWER_MARGIN_MICROS = 5_000;
     // A request still open so long after the module's time for it is failed, whatever the module thinks.
-    private static final long BACKSTOP = 2_000;
+    private static final long BACKSTOP_MICROS = 2_000;
     // A probe is answered beside the queue: no answer by then is none.
-    private static final long PROBE_TIMEOUT = 250_000;
-    private static final long TALLY_SPAN = 5_000_000;
-    private static final long FIGURES_SPAN = 200_000;  // figures may lag by half a second
+    private static final long PROBE_TIMEOUT_MICROS = 250_000;
+    private static final long TALLY_SPAN_MICROS = 5_000_000;
+    private static final long FIGURES_SPAN_MICROS = 200_000;  // figures may lag by half a second
     private static final String[] PASSED_ON = {"X-Trace-Id", "Idempotency-Key"};
 
     // What a client sends behind its request, its end among it, is looked at before an attempt where the last look is older:
     // the loop may have been held up since, or have met a host's event ahead of the client's.
-    static final long LOOK_AFTER = 50_000;
+    static final long LOOK_AFTER_MICROS = 50_000;
 
     /** Where the one final answer goes. */
     interface Client {
@@ -104,8 +104,8 @@
         }
 
         private void scheduleBackstop() {
-            long left = Math.min(due, answerBy - MARGIN) - now();
-            backstop = loop.schedule(() -> overdue(this), left + BACKSTOP, TimeUnit.MICROSECONDS);
+            long left = Math.min(due, answerBy - ANSWER_MARGIN_MICROS) - now();
+            backstop = loop.schedule(() -> overdue(this), left + BACKSTOP_MICROS, TimeUnit.MICROSECONDS);
         }
 
         /** The gateway's own end has come closer. Not where the backstop is off: in the midst of a body the time is that of
@@ -188,7 +188,7 @@
                 settings.rules().drainGrace(), hostConnections, tally, log);
         discovery = new Discovery(loop, config.discovery(), config.known().rev(),
                 list -> learn(list, list.all() ? ListForm.FULL : ListForm.DELTA), this::listFailed);
-        Periodic.every(loop, TALLY_SPAN, this::logTally, this::log);
+        Periodic.every(loop, TALLY_SPAN_MICROS, this::logTally, this::log);
         module.start(now(), settings, this);
         learn(config.known(), ListForm.CACHED);
         if (settings.registryOnRequest()) {
@@ -226,7 +226,7 @@
 
     /** Keeps the figures fresh that are not counted but looked at. */
     void keepFigures() {
-        Periodic.every(loop, FIGURES_SPAN, () -> tally.set(Tally.Gauge.HOSTS_EXCLUDED, module.excluded(now())), this::log);
+        Periodic.every(loop, FIGURES_SPAN_MICROS, () -> tally.set(Tally.Gauge.HOSTS_EXCLUDED, module.excluded(now())), this::log);
     }
 
     /** Whether all that was taken, and every attempt at it, has ended and nothing is held for it any more. */
@@ -329,7 +329,7 @@
             client.refused(settings.limits().maxRetryAfter());
             return null;
         }
-        long kept = Math.min(left, answerBy - now()) - MARGIN;
+        long kept = Math.min(left, answerBy - now()) - ANSWER_MARGIN_MICROS;
         if (kept <= 0) {
             tally.add(Tally.Count.OVERDUE);
             tally.add(className, Tally.Ended.FAILED);
@@ -448,7 +448,7 @@
     /** An attempt that is about to begin is not for a client that has gone. */
     private void lookForDeparture(Exchange exchange) {
         long now = now();
-        if (exchange.ended || now - exchange.lookedAt < LOOK_AFTER) {
+        if (exchange.ended || now - exchange.lookedAt < LOOK_AFTER_MICROS) {
             return;
         }
         exchange.lookedAt = now;
@@ -582,7 +582,7 @@
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 reports ? "/status/load" : "/health");
         long sentAt = now();
-        hosts.send(uid, message, PROBE_TIMEOUT, (outcome, answer) -> {
+        hosts.send(uid, message, PROBE_TIMEOUT_MICROS, (outcome, answer) -> {
             long elapsed = now() - sentAt;
             LoadReport report = LoadReports.parse(answer == null || !reports ? null
                     : answer.content().toString(StandardCharsets.UTF_8));
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -50,25 +50,25 @@
     private static final double IDLE_PART = 0.8;
     // The platform may hold the process up for 0.15 s between a look at the clock and a write, and a list may have waited as
     // long before it was read: drains are kept with this to spare.
-    private static final long GRACE_SPARE = 300_000;
+    private static final long GRACE_SPARE_MICROS = 300_000;
     // Of an answer that is held whole, the next piece comes at once but for a lost packet, which is sent again after
     // 200 ms: one that stalls for longer won't end.
-    private static final long STALL = 250_000;
+    private static final long STALL_MICROS = 250_000;
     // A long one that is being relayed may be read and written slowly, and can't be had from another host any more.
-    private static final long RELAY_STALL = 5_000_000;
+    private static final long RELAY_STALL_MICROS = 5_000_000;
     // An answer whose length is not told, and that comes for longer, may be a long one, of which the first bytes count.
-    private static final long OPEN_ENDED_HELD = 50_000;
+    private static final long OPEN_ENDED_HELD_MICROS = 50_000;
     // A gateway that leaves beside its successor keeps connections for so long, and looks so often.
-    private static final long RETIRED_IDLE = 100_000;
-    private static final long RETIRED_SWEEP = 50_000;
+    private static final long RETIRED_IDLE_MICROS = 100_000;
+    private static final long RETIRED_SWEEP_MICROS = 50_000;
     // A dial that fails for a reason of this machine's is made again, so often and after such a pause: for a tenth of a second.
     private static final int LOCAL_TRIES = 10;
     private static final long LOCAL_RETRY_MILLIS = 10;
-    private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
+    private static final int INTERIM_ANSWERS_MOST = 16;  // 1xx answers ahead of the real one
     // A second answer may come some milliseconds behind the first, and would pass for that to the next request: where a host
     // has been seen to send such a stray, its connections rest for a while behind each answer.
-    private static final long STRAY_REST = 50_000;
-    private static final long STRAY_KEPT = 60_000_000;
+    private static final long STRAY_REST_MICROS = 50_000;
+    private static final long STRAY_KEPT_MICROS = 60_000_000;
 
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
     interface Ended {
@@ -116,7 +116,7 @@
             Tally tally, EventLog log) {
         this.loop = loop;
         this.clock = clock;
-        this.grace = Math.max(0, grace - GRACE_SPARE);
+        this.grace = Math.max(0, grace - GRACE_SPARE_MICROS);
         this.most = most;
         this.tally = tally;
         this.log = log;
@@ -261,7 +261,7 @@
 
     private Connection takeIdle(Peer peer) {
         long now = clock.getAsLong();
-        long least = now < peer.strayUntil ? STRAY_REST : 0;
+        long least = now < peer.strayUntil ? STRAY_REST_MICROS : 0;
         for (Iterator<Connection> each = peer.idle.iterator(); each.hasNext(); ) {
             Connection idle = each.next();
             if (now - idle.idleSince < least) {
@@ -297,8 +297,8 @@
 
     /** This gateway is about to end, and its successor opens connections already: both have one bound on them. */
     void retire() {
-        idleMost = Math.min(idleMost, RETIRED_IDLE);
-        Periodic.every(loop, RETIRED_SWEEP, this::closeAged, log::fault);
+        idleMost = Math.min(idleMost, RETIRED_IDLE_MICROS);
+        Periodic.every(loop, RETIRED_SWEEP_MICROS, this::closeAged, log::fault);
     }
 
     void closeIdle(String uid) {
@@ -551,7 +551,7 @@
             answers.begun = false;
             boolean whole = answer.decoderResult().isSuccess()
                     && !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-            if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL && ++interim <= INTERIM_MOST) {
+            if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL && ++interim <= INTERIM_ANSWERS_MOST) {
                 return;
             }
             whole &= answer.status().codeClass() != HttpStatusClass.INFORMATIONAL;
@@ -573,7 +573,7 @@
         /** Something came that belongs to no request. */
         private void strayed() {
             if (peer != null) {
-                peer.strayUntil = clock.getAsLong() + STRAY_KEPT;
+                peer.strayUntil = clock.getAsLong() + STRAY_KEPT_MICROS;
             }
         }
 
@@ -637,10 +637,10 @@
             deadline up to the last byte until it is known to be long: behind that, it may go on only while it comes. */
         private long patience(Attempt mine) {
             if (relay == null) {
-                return STALL;
+                return STALL_MICROS;
             }
-            boolean isLong = knownLong || assembler.bytes() > Assembler.HELD_MOST;
-            return isLong ? RELAY_STALL : Math.max(STALL, mine.ends - clock.getAsLong());
+            boolean isLong = knownLong || assembler.bytes() > Assembler.HELD_BYTES_MOST;
+            return isLong ? RELAY_STALL_MICROS : Math.max(STALL_MICROS, mine.ends - clock.getAsLong());
         }
 
         /** All that came has been read: a connection is good for the next request if nothing came but the answer. What
@@ -672,7 +672,7 @@
             if (assembler.holdsOpenEnded()) {
                 long now = clock.getAsLong();
                 mine.firstAt = mine.firstAt == 0 ? now : mine.firstAt;
-                if (now - mine.firstAt >= OPEN_ENDED_HELD) {
+                if (now - mine.firstAt >= OPEN_ENDED_HELD_MICROS) {
                     assembler.relay(context.pipeline().context(assembler));
                 }
             }
--- a/src/main/java/mastdrift/net/HostStarts.java
+++ b/src/main/java/mastdrift/net/HostStarts.java
@@ -16,11 +16,11 @@
     /** The start of a host that began long ago, in lists and for the decision module. */
     static final long LONG_AGO = 0;
     // Lists may tell a change so late, with some seconds to spare.
-    private static final long TOLD_WITHIN = 10_000_000;
+    private static final long TOLD_WITHIN_MICROS = 10_000_000;
     // A clock may be read so much later than the one that told the start.
-    private static final long ROUNDING = 50_000;
+    private static final long ROUNDING_MICROS = 50_000;
     // Kept also for hosts that have gone, since one that comes back with the start of before has not started anew.
-    private static final int KEPT_MOST = 8192;
+    private static final int KEPT_HOSTS_MOST = 8192;
 
     private record Start(long told, long placed) { }
 
@@ -32,7 +32,7 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Start> eldest) {
-            return size() > KEPT_MOST;
+            return size() > KEPT_HOSTS_MOST;
         }
     };
     private long heardAt;
@@ -69,7 +69,7 @@
         long bySteadyClock = clock.getAsLong() - told;
         long byPresentClock = unixTime.getAsLong() - told;
         long age = youngerPossible(bySteadyClock, byPresentClock);
-        boolean tooOld = heard && age > clock.getAsLong() - heardAt + TOLD_WITHIN;
+        boolean tooOld = heard && age > clock.getAsLong() - heardAt + TOLD_WITHIN_MICROS;
         if (age < 0 || tooOld) {
             clockIsOff.run();
             return 0;
@@ -79,9 +79,9 @@
 
     /** Negative where neither is possible. */
     private static long youngerPossible(long one, long other) {
-        if (Math.min(one, other) >= -ROUNDING) {
+        if (Math.min(one, other) >= -ROUNDING_MICROS) {
             return Math.max(0, Math.min(one, other));
         }
-        return Math.max(one, other) >= -ROUNDING ? Math.max(0, Math.max(one, other)) : -1;
+        return Math.max(one, other) >= -ROUNDING_MICROS ? Math.max(0, Math.max(one, other)) : -1;
     }
 }
--- a/src/main/java/mastdrift/net/LoopMonitor.java
+++ b/src/main/java/mastdrift/net/LoopMonitor.java
@@ -29,9 +29,9 @@
     }
 
     /** Between two looks. */
-    static final long SPAN = 250_000;
+    static final long SPAN_MICROS = 250_000;
     // The platform may hold the process up for so long; what is longer is told.
-    static final long HELD_UP_MOST = 150_000;
+    static final long HELD_UP_MICROS_MOST = 150_000;
 
     private final LongSupplier clock;
     private final Supplier<ThreadTimes.Sample> times;
@@ -65,14 +65,14 @@
         }
     }
 
-    /** To be called once a {@link #SPAN}; a call that comes late tells of the loop. */
+    /** To be called once a {@link #SPAN_MICROS}; a call that comes late tells of the loop. */
     void look() {
         long now = clock.getAsLong();
         ThreadTimes.Sample sample = times.get();
         if (lookedAt != 0) {
             long wall = now - lookedAt;
-            long late = Math.max(wall - SPAN, longestTook);
-            if (late > HELD_UP_MOST) {
+            long late = Math.max(wall - SPAN_MICROS, longestTook);
+            if (late > HELD_UP_MICROS_MOST) {
                 tell(wall, late, sample);
             }
         }
@@ -98,9 +98,9 @@
             cause = cause(cpu, runDelay, blocked);
             tally.add(cause.count);
         }
-        log.add(EventLog.Event.LOOP_LATE, "late_us", late, "cause", cause, "wall_us", wall, "cpu_us", cpu, "run_delay_us", runDelay,
-                "blocked_us", blocked, "collected", untilCollection.get() == null, "longest_task", longest, "longest_us",
-                longest == null ? null : longestTook);
+        log.add(EventLog.Event.LOOP_LATE, "late_us", late, "cause", cause, "wall_us", wall, "cpu_us", cpu,
+                "run_delay_us", runDelay, "blocked_us", blocked, "collected", untilCollection.get() == null,
+                "longest_task", longest, "longest_us", longest == null ? null : longestTook);
     }
 
     private static Cause cause(long cpu, long runDelay, long blocked) {
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -25,7 +25,7 @@
 public final class Main {
 
     // Of the descriptors: for the program's own files (some 20), discovery, and connections that come and go.
-    private static final int RESERVED = 48;
+    private static final int RESERVED_DESCRIPTORS = 48;
     // Requests are answered long before; what is being passed on in pieces may last, and is owed its rest while it comes.
     private static final int STOP_SECONDS = 30;
     // An agent on this machine answers at once; while it is silent there is nothing to hear.
@@ -148,7 +148,7 @@
 
     /** The connections that clients may hold, and as many to hosts. */
     static int connectionsMost(int sockets) {
-        return Math.max(8, (Math.min(sockets, 1 << 16) - RESERVED) / 2);
+        return Math.max(8, (Math.min(sockets, 1 << 16) - RESERVED_DESCRIPTORS) / 2);
     }
 
     /** Of clients' connections an eighth is for answering those that come beyond the requests held. */
--- a/src/main/java/mastdrift/net/ReadAhead.java
+++ b/src/main/java/mastdrift/net/ReadAhead.java
@@ -20,14 +20,14 @@
 final class ReadAhead extends ChannelInboundHandlerAdapter {
 
     // Passed on before more is read.
-    private static final int TURN_MOST = 32 << 10;
+    private static final int TURN_BYTES_MOST = 32 << 10;
     // Of one connection, where the pieces are small: a client that never stops sending must not keep the loop.
     private static final int TURN_READS = 16;
     private static final long NEXT_TURN_MILLIS = 1;
     // By then the selector has heard that nothing is wanted.
     private static final long REARM_MILLIS = 1;
     // Of one connection whose reader pauses.
-    private static final int AHEAD_MOST = 1 << 20;
+    private static final int AHEAD_BYTES_MOST = 1 << 20;
 
     /** What the connections of one gateway share. */
     static final class Group {
@@ -131,7 +131,7 @@
     public void channelReadComplete(ChannelHandlerContext from) {
         boolean mayBeMore = reads >= TURN_READS;
         reads = 0;
-        if (mayBeMore && !paused && !due && size < TURN_MOST) {
+        if (mayBeMore && !paused && !due && size < TURN_BYTES_MOST) {
             // Small pieces: the next turn reads on, and what it meets belongs to this. Where there is nothing more, no turn
             // tells so.
             from.channel().eventLoop().schedule(this::passOnSoon, NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
@@ -181,7 +181,7 @@
 
     /** The loop may have been held up since these bytes were read, and their client may have left meanwhile. */
     private void lookAgain() {
-        boolean longAgo = !held.isEmpty() && clock.getAsLong() - readAt > Gateway.LOOK_AFTER;
+        boolean longAgo = !held.isEmpty() && clock.getAsLong() - readAt > Gateway.LOOK_AFTER_MICROS;
         if (longAgo && !paused && context.channel() instanceof TcpChannel connection) {
             connection.readNow();
         }
@@ -189,8 +189,8 @@
 
     /** Also where others have made room in what all may hold. */
     void pace() {
-        boolean room = !paused ? size < TURN_MOST
-                : size < AHEAD_MOST && group.held < group.most && departureMatters.getAsBoolean();
+        boolean room = !paused ? size < TURN_BYTES_MOST
+                : size < AHEAD_BYTES_MOST && group.held < group.most && departureMatters.getAsBoolean();
         boolean reads = !rearming && (dropping || room);
         if (reads != context.channel().config().isAutoRead()) {
             watched = false;
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -42,9 +42,9 @@
 
     private static final int REQUESTS = 400;
     private static final int HOSTS = 8;
-    private static final int FAILING = 16;  // of so many requests one fails, so that other paths are met too
-    private static final int LONG = 20;  // and one is long, both ways
-    private static final int LONG_BODY = Assembler.HELD_MOST + (16 << 10);
+    private static final int FAILING_EVERY = 16;  // of so many requests one fails, so that other paths are met too
+    private static final int LONG_EVERY = 20;  // and one is long, both ways
+    private static final int LONG_BODY_BYTES = Assembler.HELD_BYTES_MOST + (16 << 10);
     private static final int PATIENCE_MILLIS = 1000;
     private static final int FAILURES_MOST = 60;
 
@@ -60,7 +60,7 @@
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONG_BODY),
+                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONG_BODY_BYTES),
                                     new StandIn());
                         }
                     }).bind(any).sync().channel();
@@ -108,7 +108,7 @@
 
     /** Asks on one connection, from the request on that is next; {@code next} moves along. */
     private static void ask(InetSocketAddress at, Config config, boolean longToo, int[] next) throws IOException {
-        String longBody = "-".repeat(LONG_BODY);
+        String longBody = "-".repeat(LONG_BODY_BYTES);
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MILLIS);
             socket.setTcpNoDelay(true);
@@ -127,12 +127,12 @@
         String tenant = config.settings().tenants().isEmpty() ? "none" : config.settings().tenants().get(0).name();
         RequestClass type = classes.get(number % classes.size());
         boolean safe = type.repeat() == Repeat.SAFE;
-        boolean isLong = longToo && !safe && number % LONG == LONG - 1;
+        boolean isLong = longToo && !safe && number % LONG_EVERY == LONG_EVERY - 1;
         return (number == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
                 + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + number + "\r\nX-Qos: " + type.name()
                 + "\r\nX-Customer: " + tenant + "\r\nX-Object: " + number % HOSTS + "\r\n" + HostPool.EXPIRES + ": "
                 + PATIENCE_MILLIS + (type.repeat() == Repeat.KEYED ? "\r\nIdempotency-Key: " + number : "")
-                + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : isLong ? LONG_BODY + "\r\n\r\n" + longBody
+                + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : isLong ? LONG_BODY_BYTES + "\r\n\r\n" + longBody
                 : "4\r\n\r\nbody");
     }
 
@@ -166,10 +166,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            boolean fails = ++count % FAILING == 0 || !request.uri().equals("/api");
+            boolean fails = ++count % FAILING_EVERY == 0 || !request.uri().equals("/api");
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     fails ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK,
-                    request.content().readableBytes() == LONG_BODY ? request.content().retain()
+                    request.content().readableBytes() == LONG_BODY_BYTES ? request.content().retain()
                             : Unpooled.copiedBuffer("answer", StandardCharsets.US_ASCII));
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
             context.writeAndFlush(answer);
--- a/src/main/java/mastdrift/net/Relay.java
+++ b/src/main/java/mastdrift/net/Relay.java
@@ -13,7 +13,7 @@
 final class Relay {
 
     // What comes in one read may go beyond it.
-    private static final int HELD_MOST = 32 << 10;
+    private static final int HELD_BYTES_MOST = 32 << 10;
 
     private final Queue<ByteBuf> pieces = new ArrayDeque<>();
     private int held;
@@ -62,7 +62,7 @@
     }
 
     boolean full() {
-        return held >= HELD_MOST;
+        return held >= HELD_BYTES_MOST;
     }
 
     boolean whole() {
--- a/src/main/java/mastdrift/net/Tally.java
+++ b/src/main/java/mastdrift/net/Tally.java
@@ -17,12 +17,11 @@
 
     /** What is counted, in the order of the line. REFUSED_AT_BOUND and OVERDUE are parts of the requests refused and
         failed; a DEPARTED one is in neither. UNANSWERED are connections that the gateway ended itself while a request on
-        them was open; LOOP_LATE_* are the times that the loop was late by their causes; OFF_LOOP are callbacks on a wrong thread; LOG_LINES_DROPPED are lines that the
-        output did not take in time. */
+        them was open. LOOP_LATE_* are the times that the loop was late, by their causes. OFF_LOOP are callbacks on a wrong
+        thread. LOG_LINES_DROPPED are lines that the output did not take in time. */
     enum Count { TAKEN, REFUSED_AT_BOUND, OVERDUE, DEPARTED, CLIENTS_CAME, CLIENTS_PUSHED_OUT, UNANSWERED, ACCEPTS_FAILED,
-        HOST_DIALS, HOST_DIALS_FAILED, HOST_NO_ROOM, ATTEMPTS_WRITTEN, WRITES_DEFERRED, LOOP_LATE, LOOP_LATE_STARVED, LOOP_LATE_BUSY,
-        LOOP_LATE_BLOCKED, OFF_LOOP, RELOADS_OK,
-        RELOADS_FAILED, LOG_LINES_DROPPED }
+        HOST_DIALS, HOST_DIALS_FAILED, HOST_NO_ROOM, ATTEMPTS_WRITTEN, WRITES_DEFERRED, LOOP_LATE, LOOP_LATE_STARVED,
+        LOOP_LATE_BUSY, LOOP_LATE_BLOCKED, OFF_LOOP, RELOADS_OK, RELOADS_FAILED, LOG_LINES_DROPPED }
 
     /** How a request ended, its client still there. */
     enum Ended { SERVED, REFUSED, FAILED }
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -156,7 +156,7 @@
     void nothingIsSentForWhoHasGoneSinceTheLastLook() throws Exception {
         present = false;
         take(60_000_000, (asked, id) -> {
-            long until = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(2 * Gateway.LOOK_AFTER);
+            long until = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(2 * Gateway.LOOK_AFTER_MICROS);
             while (System.nanoTime() < until) {
                 Thread.onSpinWait();
             }
--- a/src/test/java/mastdrift/net/LoopMonitorTest.java
+++ b/src/test/java/mastdrift/net/LoopMonitorTest.java
@@ -19,7 +19,7 @@
 
     /** A span passes, and {@code late} on top of it, of which the loop ran and waited for a core for so long. */
     private void pass(long late, long cpu, long runDelay) {
-        now += LoopMonitor.SPAN + late;
+        now += LoopMonitor.SPAN_MICROS + late;
         times = times == null ? null
                 : new ThreadTimes.Sample(times.cpuMicros() + cpu, times.runDelayMicros() + runDelay);
         monitor.look();
@@ -33,7 +33,7 @@
     @Test
     void aLoopThatComesRoundInTimeIsNotTold() {
         monitor.look();
-        pass(LoopMonitor.HELD_UP_MOST, 300_000, 0);
+        pass(LoopMonitor.HELD_UP_MICROS_MOST, 300_000, 0);
         assertEquals(List.of(), log);
         assertEquals(0, tally.sum(Tally.Count.LOOP_LATE));
     }
