Load the program's classes ahead, and open all archives, before the first request

What callers saw: where no descriptor was left, the first fault of a kind could not be handled, then or later: NoClassDefFoundError at each host's connection. Why this works: the start looks for a resource that is not there, by which every archive of the class path is opened for good, and loads each class of the program. Evidence: aProcessThatCanOpenNothingGoesOnServing (each open fails in the whole process, beside failing dials, resets, a new list and a stop) failed before by that error, and passes.

--- a/rig/src/main/c/syscall_faults.c
+++ b/rig/src/main/c/syscall_faults.c
@@ -7,7 +7,7 @@
  *     call error rate side argument
  *
  *   call      accept, socket, connect, connect_result, read, write, epoll_add (EPOLL_CTL_ADD), epoll_wait, eventfd_read,
- *             eventfd_write, poll, setsockopt, getsockopt, shutdown, close, open, fsync, clock
+ *             eventfd_write, poll, setsockopt, getsockopt, shutdown, close, open, open_anywhere, fsync, clock
  *   error     the name of an errno value, or SHORT (moves at most `argument` bytes), EOF (end of stream), DELAY (waits
  *             `argument` milliseconds, then calls), STEP (the real-time clock is off by `argument` milliseconds)
  *   rate      the probability that a matching call is affected
@@ -15,6 +15,7 @@
  *   argument  a whole number, 0 where the error has none
  *
  * open fails only for files below the folder named by SYSCALL_FOLDER: the virtual machine's own files are not the program's.
+ * open_anywhere fails for all files, as where no descriptor is left.
  *
  * The writer changes the generation last, so that a rule is never read while it is being written. Each injected fault is
  * appended to the file named by SYSCALL_LOG: CLOCK_MONOTONIC in microseconds, call, error, descriptor.
@@ -47,9 +48,10 @@
 #define DESCRIPTORS_MOST 65536
 
 enum call { ACCEPT, SOCKET, CONNECT, CONNECT_RESULT, READ, WRITE, EPOLL_ADD, EPOLL_WAIT, EVENTFD_READ, EVENTFD_WRITE, POLL, SETSOCKOPT,
-    GETSOCKOPT, SHUTDOWN, CLOSE, OPEN, FSYNC, CLOCK, CALLS };
+    GETSOCKOPT, SHUTDOWN, CLOSE, OPEN, OPEN_ANYWHERE, FSYNC, CLOCK, CALLS };
 static const char *const CALL_NAMES[CALLS] = { "accept", "socket", "connect", "connect_result", "read", "write",
-    "epoll_add", "epoll_wait", "eventfd_read", "eventfd_write", "poll", "setsockopt", "getsockopt", "shutdown", "close", "open", "fsync",
+    "epoll_add", "epoll_wait", "eventfd_read", "eventfd_write", "poll", "setsockopt", "getsockopt", "shutdown", "close", "open",
+    "open_anywhere", "fsync",
     "clock" };
 
 enum side { ANY, CLIENT, UPSTREAM, EVENTFD, LOG };
@@ -474,6 +476,11 @@
     return folder != NULL && strncmp(path, folder, strlen(folder)) == 0;
 }
 
+static int open_fails(const char *path, struct rule *rule)
+{
+    return (below_folder(path) && affected(OPEN, -1, rule)) || affected(OPEN_ANYWHERE, -1, rule);
+}
+
 int open(const char *path, int flags, ...)
 {
     struct rule rule;
@@ -481,7 +488,7 @@
     va_start(arguments, flags);
     mode_t mode = va_arg(arguments, mode_t);
     va_end(arguments);
-    if (below_folder(path) && affected(OPEN, -1, &rule)) {
+    if (open_fails(path, &rule)) {
         return fail(&rule);
     }
     return (int) syscall(SYS_openat, AT_FDCWD, path, flags, mode);
@@ -494,7 +501,7 @@
     va_start(arguments, flags);
     mode_t mode = va_arg(arguments, mode_t);
     va_end(arguments);
-    if (below_folder(path) && affected(OPEN, -1, &rule)) {
+    if (open_fails(path, &rule)) {
         return fail(&rule);
     }
     return (int) syscall(SYS_openat, AT_FDCWD, path, flags | O_LARGEFILE, mode);
--- a/rig/src/main/java/mastdrift/rig/SystemCall.java
+++ b/rig/src/main/java/mastdrift/rig/SystemCall.java
@@ -54,6 +54,8 @@
         SHUTDOWN(Error.ENOTCONN, Error.EIO),
         CLOSE(Error.EINTR, Error.EIO),
         OPEN(Error.EMFILE, Error.ENFILE, Error.EINTR, Error.EIO, Error.ENOSPC),
+        /** Of any file, the virtual machine's own among them. */
+        OPEN_ANYWHERE(Error.EMFILE, Error.ENFILE),
         FSYNC(Error.EIO, Error.ENOSPC),
         CLOCK(Error.STEP);
 
--- a/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
+++ b/rig/src/test/java/mastdrift/rig/SystemCallFaultsTest.java
@@ -147,6 +147,27 @@
         assertEquals(0, ((Number) outcome.figures().get("lost_by_time")).longValue(), outcome.figures().toString());
     }
 
+    /** Guards against a class, or a file of the machine's, that is needed for the first time while no descriptor is left: hosts
+        fail, dials too, a new list comes, and a gateway stops. */
+    @Test
+    void aProcessThatCanOpenNothingGoesOnServing() throws Exception {
+        Play.Outcome outcome = play(fault("open_anywhere", "EMFILE", 1, "any") + fault("socket", "EMFILE", 0.5, "any")
+                + fault("connect", "ECONNREFUSED", 0.1, "any") + fault("read", "ECONNRESET", 0.02, "upstream") + """
+                [[fault]]
+                kind = "replace"
+                process = "host-a-1"
+                at_s = 1
+                for_s = 0.5
+                [[fault]]
+                kind = "stop"
+                process = "gateway-1"
+                at_s = 1
+                for_s = 2
+                """);
+        assertHeld(outcome);
+        assertFalse(logOf(1).contains("NoClassDefFound") || logOf(2).contains("NoClassDefFound"), logOf(1) + logOf(2));
+    }
+
     /** A loop that sleeps for 0.6 s now and then has to be caught by the rules, and told by the gateway as blocked. */
     @Test
     void aLoopThatSleepsIsCaught() throws Exception {
--- /dev/null
+++ b/src/main/java/mastdrift/net/ClassPreloader.java
@@ -0,0 +1,48 @@
+package mastdrift.net;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.jar.JarEntry;
+import java.util.jar.JarFile;
+import java.util.stream.Stream;
+
+/** Loads the program's classes ahead, and opens the archives of all others: a class that is needed for the first time while no
+    descriptor is left could not be loaded, then or later. */
+final class ClassPreloader {
+
+    private static final String SUFFIX = ".class";
+    private static final String NO_RESOURCE = "mastdrift/none";
+
+    private ClassPreloader() { }
+
+    /** Loads what there is; a class that can't be loaded now is left to its first use. */
+    static void load() {
+        ClassLoader loader = ClassPreloader.class.getClassLoader();
+        loader.getResource(NO_RESOURCE);  // looked for in every archive of the class path, which stay open
+        try {
+            Path place = Path.of(ClassPreloader.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            for (String file : Files.isDirectory(place) ? filesBelow(place) : filesIn(place)) {
+                if (file.endsWith(SUFFIX)) {
+                    Class.forName(file.substring(0, file.length() - SUFFIX.length()).replace('/', '.'), false, loader);
+                }
+            }
+        } catch (IOException | URISyntaxException | ClassNotFoundException | LinkageError e) {
+            return;  // the program runs without
+        }
+    }
+
+    private static List<String> filesBelow(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            return files.map(file -> folder.relativize(file).toString()).toList();
+        }
+    }
+
+    private static List<String> filesIn(Path archive) throws IOException {
+        try (JarFile jar = new JarFile(archive.toFile())) {
+            return jar.stream().map(JarEntry::getName).toList();
+        }
+    }
+}
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -67,6 +67,7 @@
                     : Admin.open(config.admin(), loop(), life, tally).address();
             boolean build = List.of(args).contains(REHEARSE);
             LogWriter log = LogWriter.to(FileDescriptor.out, () -> tally.add(Tally.Count.LOG_LINES_DROPPED));
+            ClassPreloader.load();
             Rehearsal.play(config, admin, build, loop(), log);
             if (build) {
                 log.flush(LOG_FLUSH_MILLIS);
