--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -40,7 +40,7 @@
     loop that ends with it, serves itself from a stand-in for hosts; no real host or discovery hears of it. */
 final class Rehearsal {
 
-    private static final int REQUESTS = 400;
+    private static final int REQUESTS = 100;
     private static final int HOSTS = 8;
     private static final int FAILING_EVERY = 16;  // of so many requests one fails, so that other paths are met too
     private static final int LONG_EVERY = 20;  // and one is long, both ways
