--- a/rig/src/main/java/mastdrift/rig/BadClients.java
+++ b/rig/src/main/java/mastdrift/rig/BadClients.java
@@ -44,6 +44,11 @@
         crowd = dice.unit() < plan.crowd();
     }
 
+    /** Whether resting connections take all descriptors of all gateways. */
+    boolean crowd() {
+        return crowd;
+    }
+
     /** They come from now on, dealt out over the gateways in turn. */
     void start(Map<String, InetSocketAddress> gateways) {
         List<String> names = List.copyOf(gateways.keySet());
--- a/rig/src/main/java/mastdrift/rig/RunDelays.java
+++ b/rig/src/main/java/mastdrift/rig/RunDelays.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -26,7 +27,11 @@
     private final Supplier<Map<String, Long>> processes;
     private final History history;
     private final Map<String, Long> sums = new HashMap<>();  // by process and thread, up to the last look
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread made = new Thread(task, "run-delays");
+        made.setDaemon(true);
+        return made;
+    });
     private long lookedAt = History.now();
 
     /** {@code processes} names those to be looked at, with their ids, anew at each look. */
@@ -55,7 +60,7 @@
                     waited.put(id, since);
                 }
             }
-        } catch (IOException | IllegalArgumentException ended) {
+        } catch (IOException | DirectoryIteratorException | IllegalArgumentException ended) {
             return;  // the process or the thread has ended, or the kernel does not tell
         }
         if (!waited.isEmpty()) {
--- a/rig/src/test/java/mastdrift/rig/SoakTest.java
+++ b/rig/src/test/java/mastdrift/rig/SoakTest.java
@@ -8,11 +8,13 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** The soak in short: the same plan, played with one seed. */
+/** The soak in short: the same plan, played with a few seeds, some of them with a crowd. */
 class SoakTest {
 
-    private static final long SEED = 1;
+    private static final long CROWDED = 9;
     private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
 
     @TempDir
@@ -22,15 +24,24 @@
         return PlanFile.read(ROOT.resolve("rig/plans/soak.toml"));
     }
 
-    @Test
-    void gatewaysKeepTheRulesUnderAllFaults() throws Exception {
+    @ParameterizedTest
+    @ValueSource(longs = {1, CROWDED, 45})
+    void gatewaysKeepTheRulesUnderAllFaults(long seed) throws Exception {
         RigPlan plan = plan();
-        Play.Outcome outcome = Play.of(plan, SEED, Draw.faults(plan, Stage.names(plan), SEED),
+        Play.Outcome outcome = Play.of(plan, seed, Draw.faults(plan, Stage.names(plan), seed),
                 new Stage.Setting(ROOT, false, Variants.NONE), 0, folder);
         assertTrue(outcome.held(), outcome.verdicts().toString());
         assertTrue((Integer) outcome.figures().get("served") > 0, outcome.figures().toString());
     }
 
+    /** Guards against a soak that no longer has a crowd in it. */
+    @Test
+    void someSeedsHaveACrowd() throws Exception {
+        RigPlan.Load load = plan().load();
+        assertTrue(new BadClients(null, load, CROWDED, new History()).crowd());
+        assertFalse(new BadClients(null, load, 1, new History()).crowd());
+    }
+
     @Test
     void eachSeedDrawsFaultsAndADeadlineOfItsOwn() throws Exception {
         RigPlan plan = plan();
