--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -26,6 +26,16 @@
     /** How the hosts of the case behave. */
     abstract Host.Behaviour behaviour();
 
+    /** Starts the gateway, with a discovery that lists all hosts, and waits until it is ready. */
+    void startGateway(Path folder) throws Exception {
+        Discovery discovery = new Discovery(hosts);
+        gateway = new Gateway(folder, Gateway.freePort(), discovery.address(), discovery.list());
+        gateway.awaitReady(record);
+    }
+
+    /** Ends the processes that the case has started beside the gateway. */
+    void endOthers() { }
+
     /** Plays the case against the gateway, which is ready; returns whether the rule held. */
     abstract boolean play() throws Exception;
 
@@ -44,8 +54,7 @@
             for (int i = 0; i < ZONES.length * HOSTS_PER_ZONE; i++) {
                 hosts.add(new Host("s-" + i, ZONES[i % ZONES.length], behaviour()));
             }
-            gateway = new Gateway(temporary, new Discovery(hosts));
-            gateway.awaitReady(record);
+            startGateway(temporary);
             boolean held = play();
             if (!gateway.isAlive()) {
                 record.add("the gateway has ended by itself");
@@ -55,6 +64,7 @@
             System.out.println("the rule " + (held ? "held" : "was broken") + ": see " + Path.of(folder, "record.txt"));
             status = held ? HELD : BROKEN;
             gateway.kill();
+            endOthers();
             delete(temporary);
         } catch (Exception | Error fault) {
             fault.printStackTrace();
--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -3,6 +3,8 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** One gateway of the project, started as a process with the command {@code run} of the deploy file. */
@@ -24,21 +26,18 @@
         new RequestClass("fechamento", "non_idempotent", "all", 600, 2000, 5000)};
 
     private final int port;
-    private final Process process;
+    private final Program program;
 
-    /** Starts a gateway with its files in {@code folder}. */
-    Gateway(Path folder, Discovery discovery) throws IOException {
-        port = freePort();
+    /** Starts a gateway with its files in {@code folder}; {@code known} is the list of hosts as it last had it. */
+    Gateway(Path folder, int port, String discovery, String known) throws IOException {
+        this.port = port;
+        Files.createDirectories(folder);
         Path config = folder.resolve("config.json");
-        Files.writeString(config, config(port, freePort(), discovery));
+        Files.writeString(config, config(port, freePort(), discovery, known));
         Path temporary = Files.createDirectory(folder.resolve("tmp"));
-        Path log = folder.resolve("gateway.log");
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command("run"));
-        builder.environment().put("NODE_CONFIG", config.toString());
-        builder.environment().put("TMPDIR", temporary.toString());
-        builder.redirectErrorStream(true).redirectOutput(log.toFile());
-        process = builder.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
+        program = new Program(List.of("/bin/sh", "-c", command("run")),
+                Map.of("NODE_CONFIG", config.toString(), "TMPDIR", temporary.toString()),
+                folder.resolve("gateway.log"));
     }
 
     int port() {
@@ -46,7 +45,7 @@
     }
 
     boolean isAlive() {
-        return process.isAlive();
+        return program.isAlive();
     }
 
     /** Waits for the gateway's yes. */
@@ -67,12 +66,7 @@
     }
 
     void kill() {
-        process.destroyForcibly();
-        try {
-            process.waitFor(5, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        program.kill();
     }
 
     /** A command of the deploy file, as the shell takes it. */
@@ -90,20 +84,21 @@
         throw new IOException("the deploy file has no command " + name);
     }
 
-    private static int freePort() throws IOException {
+    /** A port on loopback that no one listens on. */
+    static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return socket.getLocalPort();
         }
     }
 
-    private static String config(int port, int adminPort, Discovery discovery) {
+    private static String config(int port, int adminPort, String discovery, String known) {
         StringBuilder classes = new StringBuilder();
         for (RequestClass type : CLASSES) {
             classes.append(classes.length() == 0 ? "" : ",").append(type.json());
         }
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"admin\":\"127.0.0.1:" + adminPort
-                + "\",\"discovery\":\"" + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\","
-                + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" + discovery.list() + ","
+                + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\","
+                + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" + known + ","
                 + "\"settings\":{\"allowed\":{\"cancel\":true,\"conn_idle\":60000000,\"cpu_us_per_request\":0.0,"
                 + "\"cpu_us_per_s\":1000000,\"dial_timeout\":250000,\"max_attempts\":4,\"max_open\":20000,"
                 + "\"max_retry_after\":2000000,\"may_tell\":false,\"parallel_tries\":true,\"probes\":true,"
