Log and count responses that stall or are cut off, with silence and time past the deadline

Cause: nothing told a response that its host had stopped sending from one that ran into a bound on the whole; both end as dropped, soon after the deadline. Change: event=response_stalled and event=response_cut_off with bytes, silence and time past the deadline, and a counter for each.

--- a/src/main/java/mastdrift/net/EventLog.java
+++ b/src/main/java/mastdrift/net/EventLog.java
@@ -21,6 +21,10 @@
         UPSTREAM_FAILED,
         /** An attempt ended without a response for the client. */
         ATTEMPT_FAILED,
+        /** A host's response began and then paused for long before any of it was passed on. */
+        RESPONSE_STALLED,
+        /** A response that was being passed on was given up, since its host paused or sent it too slowly. */
+        RESPONSE_CUT_OFF,
         /** A request was refused. */
         REQUEST_REFUSED,
         /** A request failed, and its client got an error response. */
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -474,6 +474,7 @@
         private boolean keepAlive;
         private int interimResponses;
         private long idleSince;
+        private long lastReadAt;
 
         HostConnection(Channel channel, ResponseDecoder decoder, MessageAggregator aggregator) {
             this.channel = channel;
@@ -650,11 +651,22 @@
                 if (responseRelay != null && responseRelay.isFull()) {  // waiting for the client, not for the host
                     startStallTimer(current);
                 } else {
+                    recordStall(current);
                     current.abort(Outcome.DROPPED);
                 }
             }, stallTimeout(current), TimeUnit.MICROSECONDS);
         }
 
+        private void recordStall(Attempt current) {
+            boolean passedOn = responseRelay != null;
+            long now = clock.getAsLong();
+            metrics.increment(passedOn ? GatewayMetrics.Counter.RESPONSES_CUT_OFF
+                    : GatewayMetrics.Counter.RESPONSES_STALLED);
+            log.add(passedOn ? EventLog.Event.RESPONSE_CUT_OFF : EventLog.Event.RESPONSE_STALLED, "at", address,
+                    "bytes", aggregator.bytes(), "silent_us", now - lastReadAt,
+                    "past_deadline_us", now - current.deadline);
+        }
+
         /** How long the next part of a response may take, in microseconds. A streamed response has until the request's
             deadline; one that is known to be long may take longer, as long as it makes progress. */
         private long stallTimeout(Attempt current) {
@@ -671,6 +683,7 @@
             response. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
+            lastReadAt = clock.getAsLong();
             if (responseRelay != null) {
                 responseDataStreamed();
             }
