Bound streamed responses of unknown length by their host's progress, not by 0.25 s of silence

Cause: until 64 KiB of it had come, a response of unknown length might pause up to its request's deadline, and behind that for 0.25 s. Evidence: event=response_cut_off told 250,047 to 250,294 us of silence; with another time for the request the silence stayed and the time past the deadline moved. Change: ResponseReadTimer judges the host by pauses and rate, as RequestReadTimer does clients; a response without an end is bounded by the same. HostConnectionPoolTest.longResponseOfUnknownLengthMayPausePastItsDeadline and responseThatTricklesInEndsAfterItsDeadline failed before (dropped after 0.25 s; never ended).

--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -56,9 +56,6 @@
     // How long a response that is aggregated may stall. A host sends the next piece at once; only a lost packet delays
     // it, and TCP sends that again after 200 ms.
     private static final long STALL_TIMEOUT_MICROS = 250_000;
-    // How long a response that is streamed may stall: its host may produce it slowly, and no other host can be tried
-    // any more.
-    private static final long STREAM_STALL_TIMEOUT_MICROS = 5_000_000;
     // A response of unknown length that takes longer than this is streamed, since it may be a long one whose first
     // bytes the client waits for.
     private static final long MAX_AGGREGATION_MICROS = 50_000;
@@ -361,6 +358,10 @@
             if (timeoutTimer != null) {
                 timeoutTimer.cancel(false);
             }
+            cancelStallTimer();
+        }
+
+        private void cancelStallTimer() {
             if (stallTimer != null) {
                 stallTimer.cancel(false);
             }
@@ -465,12 +466,12 @@
         private final ResponseDecoder decoder;
         private final MessageAggregator aggregator;
         private BodyRelay responseRelay;  // of the response that is being streamed, or null
+        private ResponseReadTimer responseTimer;  // of the same response
         private PooledHost host;
         private InetSocketAddress address;
         private long hostStartedAt;
         private Attempt attempt;
         private boolean responseComplete;
-        private boolean lengthKnown;  // whether the streamed response has a Content-Length
         private boolean keepAlive;
         private int interimResponses;
         private long idleSince;
@@ -614,20 +615,28 @@
                 return;
             }
             current.stopTimers();
+            long now = clock.getAsLong();
+            long startedAt = current.responseSeenAt == 0 ? now : current.responseSeenAt;
             responseRelay = bodyRelay;
-            lengthKnown = HttpUtil.isContentLengthSet(response);
+            responseTimer = new ResponseReadTimer(startedAt, now, aggregator.bytes(),
+                    HttpUtil.isContentLengthSet(response), current.deadline);
             keepAlive = HttpUtil.isKeepAlive(response);
-            bodyRelay.onFullChange(() -> {
-                channel.config().setAutoRead(!bodyRelay.isFull());
-                if (!bodyRelay.isFull() && !current.finished) {
-                    startStallTimer(current);  // waiting for the host again, with a full timeout
-                }
-            });
+            ResponseReadTimer timer = responseTimer;
+            bodyRelay.onFullChange(() -> relayFullChanged(current, timer, bodyRelay.isFull()));
             current.listener.onResponseStart(response, bodyRelay);
-            startStallTimer(current);
+            scheduleResponseCheck(current);
         }
 
-        /** Ends the attempt if its streamed response is complete; otherwise restarts the stall timer. */
+        /** Stops reading from the host while the client takes no more, and does not time the host meanwhile. */
+        private void relayFullChanged(Attempt current, ResponseReadTimer timer, boolean full) {
+            channel.config().setAutoRead(!full);
+            timer.setPaused(full, clock.getAsLong());
+            if (!current.finished) {
+                scheduleResponseCheck(current);
+            }
+        }
+
+        /** Ends the attempt if its streamed response is complete; otherwise extends its time. */
         private void responseDataStreamed() {
             Attempt current = attempt;
             if (responseRelay.isFinished()) {
@@ -639,43 +648,47 @@
                 idleSince = clock.getAsLong();
                 current.finish(complete ? Outcome.DELIVERED : Outcome.DROPPED, null);
             } else {
-                startStallTimer(current);
+                responseTimer.dataReceived(clock.getAsLong(), aggregator.bytes());
+                scheduleResponseCheck(current);
             }
         }
 
-        private void startStallTimer(Attempt current) {
-            if (current.stallTimer != null) {
-                current.stallTimer.cancel(false);
+        /** Schedules the end of a streamed response, in place of what was scheduled before; not while reading is
+            paused. */
+        private void scheduleResponseCheck(Attempt current) {
+            current.cancelStallTimer();
+            if (!responseTimer.isPaused()) {
+                current.stallTimer = loop.schedule(() -> cutOffIfExpired(current),
+                        responseTimer.expiresAt() - clock.getAsLong(), TimeUnit.MICROSECONDS);
             }
-            current.stallTimer = loop.schedule(() -> {
-                if (responseRelay != null && responseRelay.isFull()) {  // waiting for the client, not for the host
-                    startStallTimer(current);
-                } else {
-                    recordStall(current);
-                    current.abort(Outcome.DROPPED);
-                }
-            }, stallTimeout(current), TimeUnit.MICROSECONDS);
         }
 
-        private void recordStall(Attempt current) {
-            boolean passedOn = responseRelay != null;
+        /** Ends a streamed response that is too slow; its client sees that it is incomplete. */
+        private void cutOffIfExpired(Attempt current) {
+            long now = clock.getAsLong();
+            if (now < responseTimer.expiresAt()) {
+                scheduleResponseCheck(current);
+                return;
+            }
+            metrics.increment(GatewayMetrics.Counter.RESPONSES_CUT_OFF);
+            log.add(EventLog.Event.RESPONSE_CUT_OFF, "at", address, "bytes", aggregator.bytes(), "silent_us",
+                    now - lastReadAt, "past_deadline_us", now - current.deadline);
+            current.abort(Outcome.DROPPED);
+        }
+
+        /** Gives up an attempt whose response has begun and stalls before any of it was passed on. */
+        private void startStallTimer(Attempt current) {
+            current.cancelStallTimer();
+            current.stallTimer = loop.schedule(() -> responseStalled(current), STALL_TIMEOUT_MICROS,
+                    TimeUnit.MICROSECONDS);
+        }
+
+        private void responseStalled(Attempt current) {
             long now = clock.getAsLong();
-            metrics.increment(passedOn ? GatewayMetrics.Counter.RESPONSES_CUT_OFF
-                    : GatewayMetrics.Counter.RESPONSES_STALLED);
-            log.add(passedOn ? EventLog.Event.RESPONSE_CUT_OFF : EventLog.Event.RESPONSE_STALLED, "at", address,
-                    "bytes", aggregator.bytes(), "silent_us", now - lastReadAt,
-                    "past_deadline_us", now - current.deadline);
-        }
-
-        /** How long the next part of a response may take, in microseconds. A streamed response has until the request's
-            deadline; one that is known to be long may take longer, as long as it makes progress. */
-        private long stallTimeout(Attempt current) {
-            if (responseRelay == null) {
-                return STALL_TIMEOUT_MICROS;
-            }
-            boolean isLong = lengthKnown || aggregator.bytes() > MessageAggregator.MAX_AGGREGATED_BYTES;
-            return isLong ? STREAM_STALL_TIMEOUT_MICROS
-                    : Math.max(STALL_TIMEOUT_MICROS, current.deadline - clock.getAsLong());
+            metrics.increment(GatewayMetrics.Counter.RESPONSES_STALLED);
+            log.add(EventLog.Event.RESPONSE_STALLED, "at", address, "bytes", aggregator.bytes(), "silent_us",
+                    now - lastReadAt, "past_deadline_us", now - current.deadline);
+            current.abort(Outcome.DROPPED);
         }
 
         /** All received data has been read. Returns the connection to the pool if the response was complete and nothing
--- a/src/test/java/mastdrift/net/HostConnectionPoolTest.java
+++ b/src/test/java/mastdrift/net/HostConnectionPoolTest.java
@@ -14,8 +14,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
@@ -38,6 +40,7 @@
     private static final long IDLE_TIMEOUT_MICROS = 5_000_000;
     private static final long DRAIN_GRACE_MICROS = 250_000;
     private static final long ATTEMPT_TIMEOUT_MICROS = 60_000_000;
+    private static final int MAX_TRICKLED_PIECES = 500;
 
     private final EventLoop loop = Main.newEventLoop();
     private final AtomicLong clock = new AtomicLong(1_000_000);
@@ -263,6 +266,97 @@
         }
     }
 
+    /** A host whose response the test sends piece by piece, in chunks or up to the end of the connection. */
+    private static final class SlowResponse {
+
+        // Over the time for which a gateway once waited for the next piece.
+        private static final int PAUSE_MILLIS = 400;
+        private final Socket socket;
+        private final boolean chunked;
+        private final long deadline;  // of its request, on the gateway's clock
+
+        SlowResponse(Message request, String framing, long deadline) throws Exception {
+            this.deadline = deadline;
+            socket = request.socket();
+            chunked = framing.contains("chunked");
+            write(socket, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
+        }
+
+        void sendPiece(int length) throws Exception {
+            String piece = "x".repeat(length);
+            write(socket, chunked ? Integer.toHexString(length) + "\r\n" + piece + "\r\n" : piece);
+        }
+
+        void pause() throws Exception {
+            Thread.sleep(PAUSE_MILLIS);
+        }
+
+        void end() throws Exception {
+            if (chunked) {
+                write(socket, "0\r\n\r\n");
+            } else {
+                socket.close();
+            }
+        }
+    }
+
+    /** Sends a request whose response is streamed from its second piece on; returns the response. */
+    private SlowResponse startSlowResponse(HostConnectionPool pool, Server host, String framing) throws Exception {
+        long deadline = clock.get() + ATTEMPT_TIMEOUT_MICROS;
+        BlockingQueue<BodyRelay> started = new LinkedBlockingQueue<>();
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
+        callOnLoop(() -> pool.send("s1", request, ATTEMPT_TIMEOUT_MICROS, new HostConnectionPool.AttemptListener() {
+            @Override
+            public void onResponseStart(FullHttpResponse response, BodyRelay bodyRelay) {
+                bodyRelay.abandon();
+                started.add(bodyRelay);
+            }
+
+            @Override
+            public void onEnd(Outcome outcome, FullHttpResponse response) {
+                outcomes.add(outcome);
+            }
+        }));
+        SlowResponse response = new SlowResponse(await(host.received), framing, deadline);
+        while (started.isEmpty()) {
+            response.sendPiece(1);
+            clock.addAndGet(10_000);
+            Thread.sleep(1);
+        }
+        return response;
+    }
+
+    /** Guards against cutting off a long response of unknown length whose host pauses past the request's deadline and
+        before 64 KiB of it have come, when the gateway waited 0.25 s for each piece. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Transfer-Encoding: chunked", "Connection: close"})
+    void longResponseOfUnknownLengthMayPausePastItsDeadline(String framing) throws Exception {
+        try (Server host = new Server(message -> { })) {
+            SlowResponse response = startSlowResponse(poolWithHost(host), host, framing);
+            clock.set(response.deadline + 100_000);
+            response.sendPiece(50_000);
+            response.pause();
+            response.sendPiece(50_000);
+            response.pause();
+            response.end();
+            assertEquals(Outcome.DELIVERED, await(outcomes));
+        }
+    }
+
+    /** Guards against a response of unknown length that goes on for ever, a few bytes at a time. */
+    @Test
+    void responseThatTricklesInEndsAfterItsDeadline() throws Exception {
+        try (Server host = new Server(message -> { })) {
+            SlowResponse response = startSlowResponse(poolWithHost(host), host, "Transfer-Encoding: chunked");
+            clock.set(response.deadline + 500_000);
+            for (int i = 0; i < MAX_TRICKLED_PIECES && outcomes.isEmpty(); i++) {
+                response.sendPiece(1);
+                Thread.sleep(10);
+            }
+            assertEquals(Outcome.DROPPED, outcomes.poll());
+        }
+    }
+
     @Test
     void endlessInterimResponsesAreADroppedAttempt() throws Exception {
         try (Server host = new Server(m -> {
