Ask the module about responses that pause early: hedge, wait, or another host

Callers saw: 502 (or 503) with most of their time left where a host paused for 0.25 s after the first bytes of its response. Cause: a response held whole was taken for abandoned after 0.25 s of silence, in the pool, which does not know whether another host may be tried. Change: Balancer.responseStalled. The module hedges within the retry budget; without hedging it gives an attempt up only where another may follow; else the attempt has its timeout. A response that starts to be passed on ends other attempts, and the end of those no longer ends the request (Gateway.Exchange.endsWith).

--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -199,6 +199,12 @@
         no other attempt can follow, and the attempt's age says nothing about the host. May be called twice. */
     void streamingStarted(long now, long id, int attempt);
 
+    /** An attempt's answer has begun and then paused for a while, and none of it has been passed on. Called again for
+        each further pause. Returns whether to give the attempt up, which then ends as DROPPED. */
+    default boolean responseStalled(long now, long id, int attempt) {
+        return false;
+    }
+
     /** An attempt has ended.
      *
      * @param attempt number of the attempt, as counted by {@link Actions#send}
--- a/src/main/java/mastdrift/BalancerState.java
+++ b/src/main/java/mastdrift/BalancerState.java
@@ -146,6 +146,30 @@
         }
     }
 
+    /** Token bucket for a tenant's quota at this gateway. Only admitted requests take a token: clients whose
+        requests are refused try again, and these tries must not use up the quota of a quiet tenant. */
+    static final class TenantQuota {
+        /** Requests that a tenant may save up, however small its quota. */
+        private static final double MIN_BURST_REQUESTS = 6;
+        private final double requestsPerSecond;
+        double tokens;
+        private long refilledAt;
+
+        TenantQuota(double requestsPerSecond, long now) {
+            this.requestsPerSecond = requestsPerSecond;
+            tokens = Math.max(requestsPerSecond, MIN_BURST_REQUESTS);
+            refilledAt = now;
+        }
+
+        /** Adds the tokens earned since the last call; returns whether a request is within the quota. */
+        boolean refillAndCheck(long now) {
+            tokens = Math.min(Math.max(requestsPerSecond, MIN_BURST_REQUESTS),
+                    tokens + requestsPerSecond * (now - refilledAt) / 1e6);
+            refilledAt = now;
+            return tokens >= 1;
+        }
+    }
+
     /** The server that requests of one key were last sent to. */
     record Session(Server server, long lastUsedAt) { }
 }
--- a/src/main/java/mastdrift/HeadroomBalancer.java
+++ b/src/main/java/mastdrift/HeadroomBalancer.java
@@ -10,11 +10,13 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import mastdrift.BalancerState.Attempt;
 import mastdrift.BalancerState.ModelStats;
 import mastdrift.BalancerState.OpenRequest;
 import mastdrift.BalancerState.Server;
 import mastdrift.BalancerState.Session;
+import mastdrift.BalancerState.TenantQuota;
 
 /**
  * Splits one gateway's requests over the servers by their headroom: how far a server's estimated p95 latency
@@ -93,8 +95,6 @@
     private static final double OVER_QUOTA_REFUSAL_FACTOR = 10;
     /** Pressure up to which only requests over quota are refused. */
     private static final double IN_QUOTA_PRESSURE_START = 0.5;
-    /** Requests that a tenant may save up, however small its quota. */
-    private static final double MIN_QUOTA_BURST_REQUESTS = 6;
     /** The shortest of this many answers shows how long a request waits in a server's queue. */
     private static final int ANSWERS_PER_WAIT = 4;
 
@@ -152,28 +152,6 @@
     private static final String REFRESH_TIMER = "refresh";
     private static final String LIST_REQUEST_TIMER = "ask";
 
-    /** Token bucket for a tenant's quota at this gateway. Only admitted requests take a token: clients whose
-        requests are refused try again, and these tries must not use up the quota of a quiet tenant. */
-    private static final class TenantQuota {
-        private final double requestsPerSecond;
-        private double tokens;
-        private long refilledAt;
-
-        TenantQuota(double requestsPerSecond, long now) {
-            this.requestsPerSecond = requestsPerSecond;
-            tokens = Math.max(requestsPerSecond, MIN_QUOTA_BURST_REQUESTS);
-            refilledAt = now;
-        }
-
-        /** Adds the tokens earned since the last call; returns whether a request is within the quota. */
-        boolean refillAndCheck(long now) {
-            tokens = Math.min(Math.max(requestsPerSecond, MIN_QUOTA_BURST_REQUESTS),
-                    tokens + requestsPerSecond * (now - refilledAt) / 1e6);
-            refilledAt = now;
-            return tokens >= 1;
-        }
-    }
-
     private Settings settings;
     private Actions actions;
     private SplittableRandom random;
@@ -339,6 +317,30 @@
         }
         req.streaming = true;
         attempt.streaming = true;
+        IntStream.range(0, req.attempts.size())
+                .filter(i -> req.attempts.get(i) != attempt && settings.limits().mayCancel())
+                .forEach(i -> actions.cancel(req.id, i));
+    }
+
+    /** Hedges the attempt: its host may have hung, or may write slowly. Where attempts may not overlap, gives it
+        up if another may follow. */
+    @Override
+    public boolean responseStalled(long now, long id, int attemptNumber) {
+        OpenRequest req = openRequests.get(id);
+        if (req == null || req.attempts.stream().filter(a -> a.pending).count() != 1) {
+            return false;
+        }
+        Attempt stalled = req.attempts.get(attemptNumber);
+        boolean hedge = settings.limits().mayHedge();
+        stalled.pending = hedge;  // without hedging, only an attempt that has ended is followed by another
+        Server server = retryServer(now, req);
+        stalled.pending = true;
+        if (server != null && hedge) {
+            retryBudget -= retryCost(req);
+            recordFailure(now, stalled.server, Outcome.DROPPED);
+            trySend(now, req, server);
+        }
+        return server != null && !hedge;
     }
 
     @Override
@@ -1159,19 +1161,24 @@
 
     /** Sends a request again within the retry budget, or answers it. */
     private void retry(long now, OpenRequest req) {
-        boolean enoughTime = req.expiresAt - now > typicalLatency[req.classIndex] / 2;
-        // A retry costs nothing only after a server that is down. Dials also fail at full connection tables,
-        // which free retries would keep full.
-        double cost = req.attempts.get(req.attempts.size() - 1).server.down ? 0 : 1;
-        Server server = enoughTime && retryBudget >= cost ? drawServer(now, req) : null;
-        if (server != null) {
-            retryBudget -= cost;
-        } else {
-            notRetried++;
-        }
+        Server server = retryServer(now, req);
+        retryBudget -= server == null ? 0 : retryCost(req);
+        notRetried += server == null ? 1 : 0;
         sendOrAnswer(now, req, server);
     }
 
+    /** The server for a further attempt that the retry budget allows, or null. */
+    private Server retryServer(long now, OpenRequest req) {
+        boolean enoughTime = req.expiresAt - now > typicalLatency[req.classIndex] / 2;
+        return enoughTime && retryBudget >= retryCost(req) ? drawServer(now, req) : null;
+    }
+
+    /** A retry costs nothing only after a server that is down. Dials also fail at full connection tables, which
+        free retries would keep full. */
+    private static double retryCost(OpenRequest req) {
+        return req.attempts.get(req.attempts.size() - 1).server.down ? 0 : 1;
+    }
+
     // ---- Probes and the host list
 
     /** Probes servers that are down, then those without samples, within the probe budget and one probe at a
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -23,6 +23,7 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -87,6 +88,7 @@
         private boolean bodyIncomplete;  // a part of the body has not arrived
         private boolean requestStreaming;  // the body is being sent to a host and is not kept for a retry
         private boolean responseStreaming;  // the response has started to go out to the client
+        private int streamingAttempt;  // the attempt whose response that is
         private int unresolvedAttempts;  // attempts whose outcome has not been reported to the balancer
         private boolean lastAttemptExpired;
         private boolean ended;
@@ -127,6 +129,11 @@
             return requestStreaming;
         }
 
+        /** Whether the request ends with this attempt, if it has not ended before. */
+        private boolean endsWith(int attempt) {
+            return ended || responseStreaming && attempt == streamingAttempt;
+        }
+
         /** The body has arrived, or the request has ended before: it counts as in flight, or no longer at all. */
         private void bodyComplete() {
             if (bodyIncomplete) {
@@ -420,7 +427,7 @@
             exchange.unresolvedAttempts--;
             removeIfDone(exchange);
             balancer.attemptEnded(now, exchange.id, number, hostId, outcome, elapsed,
-                    exchange.ended || exchange.responseStreaming, report);
+                    exchange.endsWith(number), report);
         });
     }
 
@@ -432,6 +439,7 @@
             return;
         }
         exchange.responseStreaming = true;
+        exchange.streamingAttempt = number;
         exchange.deadlineTimer.cancel(false);
         dispatch(exchange, now -> balancer.streamingStarted(now, exchange.id, number));
         exchange.client.startStreaming(response, bodyRelay, complete -> {
@@ -516,6 +524,13 @@
             }
         }
 
+        @Override
+        public boolean onResponseStalled() {
+            AtomicBoolean giveUp = new AtomicBoolean(exchange.ended);
+            dispatch(exchange, now -> giveUp.set(balancer.responseStalled(now, exchange.id, number)));
+            return !giveUp.get();
+        }
+
         @Override
         public void onResponseStart(FullHttpResponse response, BodyRelay bodyRelay) {
             responseStartedAt = now();
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -53,8 +53,8 @@
     // Taken off the drain grace: the platform may suspend the process for 0.15 s between reading the clock and a write,
     // and a host list may have waited for as long before it was read.
     private static final long DRAIN_GRACE_MARGIN_MICROS = 300_000;
-    // How long a response that is aggregated may stall. A host sends the next piece at once; only a lost packet delays
-    // it, and TCP sends that again after 200 ms.
+    // How long a response may pause before any of it is passed on until the listener is told: longer than TCP takes to
+    // send a lost packet again, 200 ms.
     private static final long STALL_TIMEOUT_MICROS = 250_000;
     // A response of unknown length that takes longer than this is streamed, since it may be a long one whose first
     // bytes the client waits for.
@@ -85,6 +85,13 @@
         /** The request is streamed from now on and can't be sent again. */
         default void onRequestStreaming() { }
 
+        /** The host's response has begun and paused for a while before any of it was passed on. Called again for each
+            further pause. Returns whether to go on waiting for it until the attempt's timeout; otherwise the attempt
+            ends as dropped. */
+        default boolean onResponseStalled() {
+            return false;
+        }
+
         /** A response that is too long to be aggregated has started. The listener consumes or abandons the relay of its
             body; {@link #onEnd} follows once the whole body has been read or can't be. */
         default void onResponseStart(FullHttpResponse response, BodyRelay bodyRelay) {
@@ -676,7 +683,7 @@
             current.abort(Outcome.DROPPED);
         }
 
-        /** Gives up an attempt whose response has begun and stalls before any of it was passed on. */
+        /** Restarts the time after which a response counts as stalled of which nothing was passed on. */
         private void startStallTimer(Attempt current) {
             current.cancelStallTimer();
             current.stallTimer = loop.schedule(() -> responseStalled(current), STALL_TIMEOUT_MICROS,
@@ -688,7 +695,11 @@
             metrics.increment(GatewayMetrics.Counter.RESPONSES_STALLED);
             log.add(EventLog.Event.RESPONSE_STALLED, "at", address, "bytes", aggregator.bytes(), "silent_us",
                     now - lastReadAt, "past_deadline_us", now - current.deadline);
-            current.abort(Outcome.DROPPED);
+            if (!current.listener.onResponseStalled()) {
+                current.abort(Outcome.DROPPED);
+            } else if (!current.finished) {
+                startStallTimer(current);
+            }
         }
 
         /** All received data has been read. Returns the connection to the pool if the response was complete and nothing
