Pass on the start of a response of unknown length at its deadline, or after 1 s

Callers saw: 504 for a long response of unknown length whose first bytes had come in time, just ahead of the deadline or of a pause across it. Cause: its start is held back in case the rest comes at once, and the attempt's timeout ended it without looking at what was there. HostConnectionPoolTest.startOfAResponseIsPassedOnAtItsDeadline and startOfAResponseIsPassedOnDuringALongPause failed before.

--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -59,6 +59,8 @@
     // A response of unknown length that takes longer than this is streamed, since it may be a long one whose first
     // bytes the client waits for.
     private static final long MAX_AGGREGATION_MICROS = 50_000;
+    // The start of such a response is passed on after this time at the latest: one that is held back for 2 s is lost.
+    private static final long MAX_HOLD_MICROS = 1_000_000;
     // Idle timeout and sweep interval of a gateway that is about to end while its successor runs.
     private static final long RETIRED_IDLE_TIMEOUT_MICROS = 100_000;
     private static final long RETIRED_SWEEP_INTERVAL_MICROS = 50_000;
@@ -399,8 +401,12 @@
             }
         }
 
+        /** Ends the attempt at its timeout, unless the start of a response that may be a long one has come in time. */
         private void expire() {
-            abort(writeStarted ? Outcome.EXPIRED : Outcome.DIAL_FAILED);
+            HostConnection connection = writeStarted ? channel.pipeline().get(HostConnection.class) : null;
+            if (connection == null || !connection.passOnRecentPart(this)) {
+                abort(writeStarted ? Outcome.EXPIRED : Outcome.DIAL_FAILED);
+            }
         }
 
         private void abort(Outcome outcome) {
@@ -623,9 +629,10 @@
             }
             current.stopTimers();
             long now = clock.getAsLong();
-            long startedAt = current.responseSeenAt == 0 ? now : current.responseSeenAt;
+            boolean seenBefore = current.responseSeenAt != 0;
             responseRelay = bodyRelay;
-            responseTimer = new ResponseReadTimer(startedAt, now, aggregator.bytes(),
+            responseTimer = new ResponseReadTimer(seenBefore ? current.responseSeenAt : now,
+                    seenBefore ? lastReadAt : now, aggregator.bytes(),
                     HttpUtil.isContentLengthSet(response), current.deadline);
             keepAlive = HttpUtil.isKeepAlive(response);
             ResponseReadTimer timer = responseTimer;
@@ -697,11 +704,34 @@
                     now - lastReadAt, "past_deadline_us", now - current.deadline);
             if (!current.listener.onResponseStalled()) {
                 current.abort(Outcome.DROPPED);
+            } else if (isPartHeldBack(current) && now - current.responseSeenAt >= MAX_HOLD_MICROS) {
+                passOnPart();
             } else if (!current.finished) {
                 startStallTimer(current);
             }
         }
 
+        /** Whether a part of a response of unknown length has been read for the attempt and not been passed on. */
+        private boolean isPartHeldBack(Attempt current) {
+            return attempt == current && responseRelay == null && current.requestWritten && !current.finished
+                    && aggregator.hasPartialBodyOfUnknownLength();
+        }
+
+        private void passOnPart() {
+            aggregator.startRelay(channel.pipeline().context(aggregator));
+        }
+
+        /** Passes on what has come of a response of unknown length; false if there is nothing, or its host has paused for
+            too long to go on. */
+        private boolean passOnRecentPart(Attempt current) {
+            boolean recent = clock.getAsLong() - lastReadAt < ResponseReadTimer.MAX_PAUSE_MICROS;
+            if (!recent || !isPartHeldBack(current)) {
+                return false;
+            }
+            passOnPart();
+            return true;
+        }
+
         /** All received data has been read. Returns the connection to the pool if the response was complete and nothing
             followed it; closes it on data that belongs to no request; bounds the time for the rest of a partial
             response. */
@@ -714,7 +744,7 @@
             if (attempt != null) {
                 if (responseRelay == null && decoder.hasPartialInput()) {
                     startStallTimer(attempt);
-                    streamIfSlow(context, attempt);
+                    streamIfSlow(attempt);
                 }
             } else if (responseComplete && !decoder.hasPartialInput() && host.sendDeadline == Long.MAX_VALUE
                     && isCurrent()) {
@@ -731,12 +761,12 @@
 
         /** Streams a response of unknown length once it has taken long enough. Called only when data has just arrived:
             a response that has stalled may still be fetched from another host. */
-        private void streamIfSlow(ChannelHandlerContext context, Attempt current) {
+        private void streamIfSlow(Attempt current) {
             if (aggregator.hasPartialBodyOfUnknownLength()) {
                 long now = clock.getAsLong();
                 current.responseSeenAt = current.responseSeenAt == 0 ? now : current.responseSeenAt;
                 if (now - current.responseSeenAt >= MAX_AGGREGATION_MICROS) {
-                    aggregator.startRelay(context.pipeline().context(aggregator));
+                    passOnPart();
                 }
             }
         }
--- a/src/test/java/mastdrift/net/HostConnectionPoolTest.java
+++ b/src/test/java/mastdrift/net/HostConnectionPoolTest.java
@@ -40,11 +40,14 @@
     private static final long IDLE_TIMEOUT_MICROS = 5_000_000;
     private static final long DRAIN_GRACE_MICROS = 250_000;
     private static final long ATTEMPT_TIMEOUT_MICROS = 60_000_000;
+    private static final long SHORT_TIMEOUT_MICROS = 400_000;
+    private static final long MAX_HOLD_MICROS = 1_000_000;
     private static final int MAX_TRICKLED_PIECES = 500;
 
     private final EventLoop loop = Main.newEventLoop();
     private final AtomicLong clock = new AtomicLong(1_000_000);
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    private final BlockingQueue<BodyRelay> started = new LinkedBlockingQueue<>();  // streamed responses
     private Server host1;
     private Server host2;
 
@@ -300,12 +303,17 @@
         }
     }
 
-    /** Sends a request whose response is streamed from its second piece on; returns the response. */
-    private SlowResponse startSlowResponse(HostConnectionPool pool, Server host, String framing) throws Exception {
-        long deadline = clock.get() + ATTEMPT_TIMEOUT_MICROS;
-        BlockingQueue<BodyRelay> started = new LinkedBlockingQueue<>();
+    /** Sends a request whose response the test sends; it waits for a response that has stalled. */
+    private SlowResponse sendSlowRequest(HostConnectionPool pool, Server host, String framing, long timeout)
+            throws Exception {
+        long deadline = clock.get() + timeout;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
-        callOnLoop(() -> pool.send("s1", request, ATTEMPT_TIMEOUT_MICROS, new HostConnectionPool.AttemptListener() {
+        callOnLoop(() -> pool.send("s1", request, timeout, new HostConnectionPool.AttemptListener() {
+            @Override
+            public boolean onResponseStalled() {
+                return true;
+            }
+
             @Override
             public void onResponseStart(FullHttpResponse response, BodyRelay bodyRelay) {
                 bodyRelay.abandon();
@@ -317,7 +325,12 @@
                 outcomes.add(outcome);
             }
         }));
-        SlowResponse response = new SlowResponse(await(host.received), framing, deadline);
+        return new SlowResponse(await(host.received), framing, deadline);
+    }
+
+    /** The same with a response that is being streamed. */
+    private SlowResponse startSlowResponse(HostConnectionPool pool, Server host, String framing) throws Exception {
+        SlowResponse response = sendSlowRequest(pool, host, framing, ATTEMPT_TIMEOUT_MICROS);
         while (started.isEmpty()) {
             response.sendPiece(1);
             clock.addAndGet(10_000);
@@ -357,6 +370,38 @@
         }
     }
 
+    /** Guards against a long response of unknown length that fails at its request's deadline, though its first bytes
+        came in time: they were held back, in case the rest would come at once. */
+    @Test
+    void startOfAResponseIsPassedOnAtItsDeadline() throws Exception {
+        try (Server host = new Server(message -> { })) {
+            SlowResponse response = sendSlowRequest(poolWithHost(host), host, "Transfer-Encoding: chunked",
+                    SHORT_TIMEOUT_MICROS);
+            response.sendPiece(1);
+            assertNotNull(await(started));
+            response.sendPiece(100_000);
+            response.end();
+            assertEquals(Outcome.DELIVERED, await(outcomes));
+        }
+    }
+
+    /** Guards against the start of a long response that is held back until its host goes on after a long pause. */
+    @Test
+    void startOfAResponseIsPassedOnDuringALongPause() throws Exception {
+        try (Server host = new Server(message -> { })) {
+            SlowResponse response = sendSlowRequest(poolWithHost(host), host, "Transfer-Encoding: chunked",
+                    ATTEMPT_TIMEOUT_MICROS);
+            response.sendPiece(1);
+            while (started.isEmpty() && clock.get() < response.deadline) {
+                response.pause();
+                clock.addAndGet(MAX_HOLD_MICROS);
+            }
+            assertEquals(1, started.size());
+            response.end();
+            assertEquals(Outcome.DELIVERED, await(outcomes));
+        }
+    }
+
     @Test
     void endlessInterimResponsesAreADroppedAttempt() throws Exception {
         try (Server host = new Server(m -> {
