Read a host's connection again once its response is complete, whatever its client takes

Callers saw: a request that waits for an unrelated client, one that reads a long response slowly or not at all. Cause: reading from the host is paused while the relay is full; when the response's last piece filled it, the connection went back to the pool with reading off, and the old relay went on to switch it. Change: a connection whose response has been read whole is separated from the relay and read again. Evidence and result: HostConnectionPoolTest.connectionIsReadAgainAfterAResponseThatItsClientDoesNotTake failed before: the second request's response lay unread for 30 s. Found by reading; not seen in service.

--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -655,6 +655,9 @@
             Attempt current = attempt;
             if (responseRelay.isFinished()) {
                 boolean complete = responseRelay.isComplete();
+                // The client may still have to take some of it: that no longer concerns this connection.
+                responseRelay.onFullChange(() -> { });
+                channel.config().setAutoRead(true);
                 attempt = null;
                 responseRelay = null;
                 decoder.responseStarted = false;
--- a/src/test/java/mastdrift/net/HostConnectionPoolTest.java
+++ b/src/test/java/mastdrift/net/HostConnectionPoolTest.java
@@ -48,6 +48,7 @@
     private final AtomicLong clock = new AtomicLong(1_000_000);
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private final BlockingQueue<BodyRelay> started = new LinkedBlockingQueue<>();  // streamed responses
+    private boolean clientReads = true;  // whether clients take what is passed on of a streamed response
     private Server host1;
     private Server host2;
 
@@ -316,7 +317,9 @@
 
             @Override
             public void onResponseStart(FullHttpResponse response, BodyRelay bodyRelay) {
-                bodyRelay.abandon();
+                if (clientReads) {
+                    bodyRelay.abandon();
+                }
                 started.add(bodyRelay);
             }
 
@@ -402,6 +405,27 @@
         }
     }
 
+    /** Guards against a request that waits for the client of an earlier one: its connection was reused while reading was
+        paused, since that client had not taken the end of its response. */
+    @Test
+    void connectionIsReadAgainAfterAResponseThatItsClientDoesNotTake() throws Exception {
+        clientReads = false;
+        try (Server host = new Server(message -> { })) {
+            HostConnectionPool pool = poolWithHost(host);
+            SlowResponse response = startSlowResponse(pool, host, "Transfer-Encoding: chunked");
+            response.sendPiece(20_000);
+            response.pause();
+            String lastPiece = "x".repeat(14_000);  // fills the relay
+            write(response.socket, Integer.toHexString(lastPiece.length()) + "\r\n" + lastPiece + "\r\n0\r\n\r\n");
+            assertEquals(Outcome.DELIVERED, await(outcomes));
+            assertTrue(callOnLoop(started.remove()::isFull));
+            callOnLoop(() -> send(pool, "s1"));
+            write(await(host.received).socket(), response("200 OK", "1"));
+            assertEquals(Outcome.DELIVERED, await(outcomes));
+            assertEquals(1, host.acceptedConnections.size());
+        }
+    }
+
     @Test
     void endlessInterimResponsesAreADroppedAttempt() throws Exception {
         try (Server host = new Server(m -> {
