Keep hosts' send buffers small, so that a host that reads slowly shows progress

Callers saw: a long request failed in the midst while its host was reading it. Cause: progress shows when the socket takes more. The system grew the buffer to megabytes and reports room once a third is free: some 4 s at 200 kB a second, and a host that takes nothing for the request's time counts as hung. Change: 32 KiB of send buffer, as clients' connections have a bound; 0.4 s on top of the request's time (late, not lost). Evidence and result: LongBodyTest.hostMayReadALongRequestSlowly failed before (answered before its host had read 600 kB of 8 MB).

--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -64,6 +64,9 @@
     // Idle timeout and sweep interval of a gateway that is about to end while its successor runs.
     private static final long RETIRED_IDLE_TIMEOUT_MICROS = 100_000;
     private static final long RETIRED_SWEEP_INTERVAL_MICROS = 50_000;
+    // The system would grow the send buffer to megabytes and report it writable only once a third of it is free: a host
+    // that reads slowly would seem to read nothing for longer than a request's time.
+    private static final int SEND_BUFFER_BYTES = 32 << 10;
     // Connecting is retried for 0.1 s in all where it failed for a lack on this machine.
     private static final int MAX_CONNECT_TRIES = 10;
     private static final long CONNECT_RETRY_MILLIS = 10;
@@ -138,6 +141,7 @@
         idleTimeout = (long) (hostIdleTimeout * IDLE_TIMEOUT_FRACTION);
         bootstrap = new Bootstrap().group(loop).channelFactory(TcpChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, DownstreamServer.receiveBufferAllocator())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, DownstreamServer.WRITE_WATER_MARK)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000))
@@ -376,16 +380,16 @@
             }
         }
 
-        /** Fails the attempt if the host has accepted none of the waiting body for the timeout; otherwise checks again
-            later. */
+        /** Fails the attempt if the host has accepted none of the waiting body for so long that an answer would be too
+            late, if the client has sent the whole body by now; otherwise checks again later. */
         private void checkWriteProgress() {
             long now = clock.getAsLong();
             lastProgressAt = bodyRelay.hasUnwrittenData() ? lastProgressAt : now;
-            if (now - lastProgressAt >= timeout) {
+            long timeLeft = timeout + ResponseReadTimer.MAX_LATENESS_MICROS - (now - lastProgressAt);
+            if (timeLeft <= 0) {
                 abort(Outcome.DIAL_FAILED);
             } else {
-                timeoutTimer = loop.schedule(this::checkWriteProgress, timeout - (now - lastProgressAt),
-                        TimeUnit.MICROSECONDS);
+                timeoutTimer = loop.schedule(this::checkWriteProgress, timeLeft, TimeUnit.MICROSECONDS);
             }
         }
 
--- a/src/main/java/mastdrift/net/ResponseReadTimer.java
+++ b/src/main/java/mastdrift/net/ResponseReadTimer.java
@@ -15,7 +15,7 @@
     // A response that comes more slowly, an eighth of that rate, counts as one that trickles in and never ends.
     private static final double MICROS_PER_BYTE = 1e6 / 8_000;
     // A response that ends up to half a second after its deadline is late, but not lost.
-    private static final long MAX_LATENESS_MICROS = 400_000;
+    static final long MAX_LATENESS_MICROS = 400_000;
 
     private final long deadline;
     private final boolean lengthKnown;
--- a/src/test/java/mastdrift/net/LongBodyTest.java
+++ b/src/test/java/mastdrift/net/LongBodyTest.java
@@ -33,6 +33,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -42,6 +44,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import mastdrift.net.Loopback.GatewayNode;
 import mastdrift.net.Loopback.Message;
 import mastdrift.net.Loopback.Server;
@@ -59,9 +62,13 @@
     private Path folder;
 
     private GatewayNode startNode(Server discovery, Server... hosts) throws Exception {
+        return startNode(discovery, Stream.of(hosts).map(Server::address).toList());
+    }
+
+    private GatewayNode startNode(Server discovery, List<String> hostAddresses) throws Exception {
         List<String> entries = new ArrayList<>();
-        for (Server host : hosts) {
-            entries.add(hostEntry("s" + entries.size(), host.address(), "a", "in_service"));
+        for (String address : hostAddresses) {
+            entries.add(hostEntry("s" + entries.size(), address, "a", "in_service"));
         }
         return new GatewayNode(environment(folder, discovery, hostList(1, true, entries.toArray(new String[0])),
                 SETTINGS));
@@ -332,6 +339,46 @@
         }
     }
 
+    private static ServerSocket loopbackSocket() throws IOException {
+        return new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /** A host that reads {@code bytes} of what it is sent, at 200 kB a second. */
+    private static void readSlowly(Socket connection, int bytes) throws Exception {
+        for (int read = 0; read < bytes; read += connection.getInputStream().readNBytes(10_000).length) {
+            Thread.sleep(50);
+        }
+    }
+
+    /** Sends the body on a thread of its own: it waits where the gateway does. */
+    private static void sendBody(Socket client, int length) {
+        Thread sender = new Thread(() -> {
+            try {
+                client.getOutputStream().write(new byte[length]);
+            } catch (IOException closed) {
+                return;  // by the end of the test
+            }
+        });
+        sender.setDaemon(true);
+        sender.start();
+    }
+
+    /** Guards against a long request that fails while its host reads it slowly: what the host took in 4 s was seen at
+        once, and the host counted as hung in between. */
+    @Test
+    void hostMayReadALongRequestSlowly() throws Exception {
+        try (Server discovery = discoveryServer(); ServerSocket host = loopbackSocket();
+                GatewayNode node = startNode(discovery, List.of("127.0.0.1:" + host.getLocalPort()))) {
+            Socket client = node.connect();
+            write(client, head("Content-Length: 8000000").replace("20000", "600"));
+            sendBody(client, 8_000_000);
+            try (Socket connection = host.accept()) {
+                readSlowly(connection, 600_000);
+                assertEquals(0, client.getInputStream().available());
+            }
+        }
+    }
+
     private static ByteBuf buffer(int length) {
         return Unpooled.wrappedBuffer(new byte[length]);
     }
