Count the time of a long request from its client's last byte, not from its host's

Callers saw: answers up to 9 s after the last byte of a long body, with 1 s to go, at a host that hangs or reads slowly (review, without a case). Cause: between the client's last byte and the host's ran but a timer for progress, which takes what was handed to the network library for written. Change: BodyRelay.onComplete starts the attempt's timeout and the request's deadline. Open: last bytes that the system holds while reading from the client is paused.

--- a/src/main/java/mastdrift/net/BodyRelay.java
+++ b/src/main/java/mastdrift/net/BodyRelay.java
@@ -23,6 +23,7 @@
     private boolean abandoned;
     private boolean writing;
     private Runnable onFullChange = () -> { };
+    private Runnable onComplete = () -> { };
     private Channel target;
     private Consumer<Boolean> onWritten;
 
@@ -47,9 +48,17 @@
         }
     }
 
+    /** {@code listener} runs when the whole body has been added, ahead of the writer's; not if that was before. */
+    void onComplete(Runnable listener) {
+        onComplete = listener;
+    }
+
     /** The whole body has been added. */
     void complete() {
         complete = !failed;
+        if (complete) {
+            onComplete.run();
+        }
         resumeWriting();
     }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -514,13 +514,19 @@
             }
         }
 
+        @Override
+        public void onRequestReceived() {
+            if (!exchange.ended) {
+                exchange.bodyComplete();
+                exchange.startDeadline();
+            }
+        }
+
         @Override
         public void onRequestWritten() {
             metrics.increment(GatewayMetrics.Counter.ATTEMPTS_WRITTEN);
             if (exchange.bodyRelay != null && !exchange.ended) {
                 sentAt = now();
-                exchange.bodyComplete();
-                exchange.startDeadline();
             }
         }
 
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -90,6 +90,9 @@
         /** The request is streamed from now on and can't be sent again. */
         default void onRequestStreaming() { }
 
+        /** The client has sent the whole body of a request that is streamed: the attempt's timeout starts. */
+        default void onRequestReceived() { }
+
         /** The host's response has begun and paused for a while before any of it was passed on. Called again for each
             further pause. Returns whether to go on waiting for it until the attempt's timeout; otherwise the attempt
             ends as dropped. */
@@ -213,8 +216,8 @@
 
     /** Sends a request, which it releases, whose body continues in {@code bodyRelay}; null where the message is whole.
         With a relay the timeout, in microseconds, applies to each phase: connecting, a host that accepts no more of the
-        body, and the response from the last byte sent on. Where the body waited for the connection, the later phases
-        share what is left. */
+        body, and what follows once the whole body has been read from the client. Where the body waited for the
+        connection, the later phases share what is left. */
     Attempt send(String hostId, FullHttpRequest request, BodyRelay bodyRelay, long timeout, AttemptListener listener) {
         Attempt attempt = new Attempt(request, bodyRelay, timeout, listener);
         PooledHost host = hosts.get(hostId);
@@ -380,6 +383,14 @@
             }
         }
 
+        /** The body has been read to its end: from then on its client waits for the response. */
+        private void requestReceived() {
+            if (!finished) {
+                startTimer();
+                listener.onRequestReceived();
+            }
+        }
+
         /** Fails the attempt if the host has accepted none of the waiting body for so long that an answer would be too
             late, if the client has sent the whole body by now; otherwise checks again later. */
         private void checkWriteProgress() {
@@ -550,15 +561,15 @@
             if (sent.bodyRelay.isFull() || sent.bodyRelay.isFinished()) {
                 sent.timeout = sent.deadline - clock.getAsLong();
             }
-            sent.lastProgressAt = clock.getAsLong();
-            sent.checkWriteProgress();
             sent.listener.onRequestStreaming();
-            sent.bodyRelay.writeTo(channel, complete -> {
-                if (complete && !sent.finished) {
-                    sent.startTimer();
-                }
-                requestWritten(sent, complete);
-            });
+            if (sent.bodyRelay.isComplete()) {
+                sent.requestReceived();
+            } else {
+                sent.lastProgressAt = clock.getAsLong();
+                sent.bodyRelay.onComplete(sent::requestReceived);
+                sent.checkWriteProgress();
+            }
+            sent.bodyRelay.writeTo(channel, complete -> requestWritten(sent, complete));
         }
 
         @Override
--- a/src/test/java/mastdrift/net/LongBodyTest.java
+++ b/src/test/java/mastdrift/net/LongBodyTest.java
@@ -343,10 +343,10 @@
         return new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     }
 
-    /** A host that reads {@code bytes} of what it is sent, at 200 kB a second. */
-    private static void readSlowly(Socket connection, int bytes) throws Exception {
+    /** Reads {@code bytes} of what a host is sent, 10 kB at a time with a pause ahead of each. */
+    private static void readSlowly(Socket connection, int bytes, int pauseMillis) throws Exception {
         for (int read = 0; read < bytes; read += connection.getInputStream().readNBytes(10_000).length) {
-            Thread.sleep(50);
+            Thread.sleep(pauseMillis);
         }
     }
 
@@ -373,12 +373,30 @@
             write(client, head("Content-Length: 8000000").replace("20000", "600"));
             sendBody(client, 8_000_000);
             try (Socket connection = host.accept()) {
-                readSlowly(connection, 600_000);
+                readSlowly(connection, 600_000, 50);
                 assertEquals(0, client.getInputStream().available());
             }
         }
     }
 
+    /** Guards against a request that is answered long after its time: its host reads the end of its body slowly, and the
+        time ran from the byte that the host took last and not from the one that the client sent last. */
+    @Test
+    void timeOfALongRequestRunsFromItsClientsLastByte() throws Exception {
+        try (Server discovery = discoveryServer(); ServerSocket host = loopbackSocket()) {
+            host.setReceiveBufferSize(16 << 10);
+            try (GatewayNode node = startNode(discovery, List.of("127.0.0.1:" + host.getLocalPort()))) {
+                Socket client = node.connect();
+                write(client, head("Content-Length: 200000").replace("20000\r\n", "600\r\n") + "x".repeat(200_000));
+                try (Socket connection = host.accept()) {
+                    readSlowly(connection, 120_000, 200);
+                    assertTrue(client.getInputStream().available() > 0);
+                    assertEquals(504, Loopback.read(client).status());
+                }
+            }
+        }
+    }
+
     private static ByteBuf buffer(int length) {
         return Unpooled.wrappedBuffer(new byte[length]);
     }
