--- a/src/main/java/mastdrift/HeadroomBalancer.java
+++ b/src/main/java/mastdrift/HeadroomBalancer.java
@@ -322,8 +322,8 @@
                 .forEach(i -> actions.cancel(req.id, i));
     }
 
-    /** Hedges the attempt: its host may have hung, or may write slowly. Where attempts may not overlap, gives it
-        up if another may follow. */
+    /** Hedges the attempt: its host may have hung, or may write slowly. Where attempts may not overlap, gives
+        it up if another may follow. */
     @Override
     public boolean responseStalled(long now, long id, int attemptNumber) {
         OpenRequest req = openRequests.get(id);
@@ -1173,8 +1173,8 @@
         return enoughTime && retryBudget >= retryCost(req) ? drawServer(now, req) : null;
     }
 
-    /** A retry costs nothing only after a server that is down. Dials also fail at full connection tables, which
-        free retries would keep full. */
+    /** A retry costs nothing only after a server that is down. Dials also fail at full connection tables,
+        which free retries would keep full. */
     private static double retryCost(OpenRequest req) {
         return req.attempts.get(req.attempts.size() - 1).server.down ? 0 : 1;
     }
--- a/src/main/java/mastdrift/net/GatewayMetrics.java
+++ b/src/main/java/mastdrift/net/GatewayMetrics.java
@@ -20,10 +20,10 @@
         DEPARTED, requests whose client disconnected, as neither. CLIENTS_CAME counts client connections,
         CLIENTS_PUSHED_OUT those closed to make room for others, and UNANSWERED those that the gateway closed itself
         while a request on them was open. HOST_DIALS counts attempts to connect to hosts, HOST_NO_ROOM attempts of
-        requests for which the connection pool had no room. RESPONSES_STALLED counts hosts' responses that paused for long
-        before any of them was passed on, RESPONSES_CUT_OFF those that were given up after their start had been. LOOP_LATE_*
-        splits LOOP_LATE by cause. OFF_LOOP counts callbacks on a wrong thread. LOG_LINES_DROPPED counts lines that the output
-        did not accept in time. */
+        requests for which the connection pool had no room. RESPONSES_STALLED counts hosts' responses that paused for
+        long before any of them was passed on, RESPONSES_CUT_OFF those that were given up after their start had been.
+        LOOP_LATE_* splits LOOP_LATE by cause. OFF_LOOP counts callbacks on a wrong thread. LOG_LINES_DROPPED counts
+        lines that the output did not accept in time. */
     enum Counter { TAKEN, REFUSED_AT_BOUND, OVERDUE, DEPARTED, CLIENTS_CAME, CLIENTS_PUSHED_OUT, UNANSWERED,
         ACCEPTS_FAILED, HOST_DIALS, HOST_DIALS_FAILED, HOST_NO_ROOM, ATTEMPTS_WRITTEN, RESPONSES_STALLED,
         RESPONSES_CUT_OFF, WRITES_DEFERRED, LOOP_LATE, LOOP_LATE_STARVED, LOOP_LATE_BUSY, LOOP_LATE_BLOCKED, OFF_LOOP,
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -355,6 +355,7 @@
         private Channel channel;
         private boolean writeStarted;
         private boolean requestWritten;
+        private boolean stalled;  // its response has begun and paused before any of it was passed on
         private boolean finished;
 
         private Attempt(FullHttpRequest request, BodyRelay bodyRelay, long timeout, AttemptListener listener) {
@@ -717,9 +718,12 @@
 
         private void responseStalled(Attempt current) {
             long now = clock.getAsLong();
-            metrics.increment(GatewayMetrics.Counter.RESPONSES_STALLED);
-            log.add(EventLog.Event.RESPONSE_STALLED, "at", address, "bytes", aggregator.bytes(), "silent_us",
-                    now - lastReadAt, "past_deadline_us", now - current.deadline);
+            if (!current.stalled) {
+                current.stalled = true;
+                metrics.increment(GatewayMetrics.Counter.RESPONSES_STALLED);
+                log.add(EventLog.Event.RESPONSE_STALLED, "at", address, "bytes", aggregator.bytes(), "silent_us",
+                        now - lastReadAt, "past_deadline_us", now - current.deadline);
+            }
             if (!current.listener.onResponseStalled()) {
                 current.abort(Outcome.DROPPED);
             } else if (isPartHeldBack(current) && now - current.responseSeenAt >= MAX_HOLD_MICROS) {
@@ -739,8 +743,8 @@
             aggregator.startRelay(channel.pipeline().context(aggregator));
         }
 
-        /** Passes on what has come of a response of unknown length; false if there is nothing, or its host has paused for
-            too long to go on. */
+        /** Passes on what has come of a response of unknown length; false if there is nothing, or its host has paused
+            for too long to go on. */
         private boolean passOnRecentPart(Attempt current) {
             boolean recent = clock.getAsLong() - lastReadAt < ResponseReadTimer.MAX_PAUSE_MICROS;
             if (!recent || !isPartHeldBack(current)) {
--- a/src/test/java/mastdrift/net/HostConnectionPoolTest.java
+++ b/src/test/java/mastdrift/net/HostConnectionPoolTest.java
@@ -416,7 +416,8 @@
             response.sendPiece(20_000);
             response.pause();
             String lastPiece = "x".repeat(14_000);  // fills the relay
-            write(response.socket, Integer.toHexString(lastPiece.length()) + "\r\n" + lastPiece + "\r\n0\r\n\r\n");
+            write(response.socket, Integer.toHexString(lastPiece.length()) + "\r\n" + lastPiece
+                    + "\r\n0\r\n\r\n");
             assertEquals(Outcome.DELIVERED, await(outcomes));
             assertTrue(callOnLoop(started.remove()::isFull));
             callOnLoop(() -> send(pool, "s1"));
--- a/src/test/java/mastdrift/net/LongBodyTest.java
+++ b/src/test/java/mastdrift/net/LongBodyTest.java
@@ -379,8 +379,8 @@
         }
     }
 
-    /** Guards against a request that is answered long after its time: its host reads the end of its body slowly, and the
-        time ran from the byte that the host took last and not from the one that the client sent last. */
+    /** Guards against a request that is answered long after its time: its host reads the end of its body slowly, and
+        the time ran from the byte that the host took last and not from the one that the client sent last. */
     @Test
     void timeOfALongRequestRunsFromItsClientsLastByte() throws Exception {
         try (Server discovery = discoveryServer(); ServerSocket host = loopbackSocket()) {
--- a/src/test/java/mastdrift/net/StalledResponseTest.java
+++ b/src/test/java/mastdrift/net/StalledResponseTest.java
@@ -70,7 +70,8 @@
         }
     }
 
-    /** Guards against the same for requests that may be repeated, where each host pauses: every attempt was given up. */
+    /** Guards against the same for requests that may be repeated, where each host pauses: every attempt was given up.
+        */
     @Test
     void repeatableRequestIsAnsweredWhereAllHostsPause() throws Exception {
         String begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n";
