Don't take the age of an attempt whose answer has begun for a queue at its host

Cause: an attempt in flight counts as wait in its host's queue and as late, and such attempts are now waited for. Change: from the first stall on the attempt counts as one that streams. Result: StalledResponseTest.ageOfAStalledAttemptIsNoSignOfAQueue failed before (50 of 50 refused).

--- a/src/main/java/mastdrift/BalancerState.java
+++ b/src/main/java/mastdrift/BalancerState.java
@@ -110,7 +110,8 @@
         long connectionIdleTime;
         /** Whether its outcome proves that it had no effect. */
         boolean neverRan;
-        /** Whether its request or answer is streamed, so that its age says nothing about the host. */
+        /** Whether its request is streamed or its answer has begun to come in pieces, so that its age says nothing about
+            the host. */
         boolean streaming;
 
         Attempt(Server server, int classIndex, long sentAt) {
--- a/src/main/java/mastdrift/HeadroomBalancer.java
+++ b/src/main/java/mastdrift/HeadroomBalancer.java
@@ -312,16 +312,20 @@
             return;
         }
         Attempt attempt = req.attempts.get(attemptNumber);
-        if (!attempt.streaming && attempt.server.unansweredSends > 0) {
-            attempt.server.unansweredSends--;  // a long stream is no sign of a silent server
-        }
+        markStreaming(attempt);
         req.streaming = true;
-        attempt.streaming = true;
         IntStream.range(0, req.attempts.size())
                 .filter(i -> req.attempts.get(i) != attempt && settings.limits().mayCancel())
                 .forEach(i -> actions.cancel(req.id, i));
     }
 
+    private static void markStreaming(Attempt attempt) {
+        if (!attempt.streaming && attempt.server.unansweredSends > 0) {
+            attempt.server.unansweredSends--;  // a long stream is no sign of a silent server
+        }
+        attempt.streaming = true;
+    }
+
     /** Hedges the attempt: its host may have hung, or may write slowly. Where attempts may not overlap, gives
         it up if another may follow. */
     @Override
@@ -331,6 +335,7 @@
             return false;
         }
         Attempt stalled = req.attempts.get(attemptNumber);
+        markStreaming(stalled);  // the host has worked on it: its age is no sign of a queue
         boolean hedge = settings.limits().mayHedge();
         stalled.pending = hedge;  // without hedging, only an attempt that has ended is followed by another
         Server server = retryServer(now, req);
--- a/src/test/java/mastdrift/StalledResponseTest.java
+++ b/src/test/java/mastdrift/StalledResponseTest.java
@@ -61,6 +61,21 @@
         assertEquals(2, gateway.sendsOf(id).size());
     }
 
+    /** Guards against refusals at a host that pauses within its answers: the time since the send is no wait in its queue. */
+    @Test
+    void ageOfAStalledAttemptIsNoSignOfAQueue() {
+        gateway.idempotency = Idempotency.UNSAFE;
+        gateway.start(1);
+        gateway.serve(50, 20_000, 20_000);
+        long id = gateway.request(null);
+        stall(id);
+        gateway.advance(700_000);
+        for (int i = 0; i < 50; i++) {
+            gateway.request(null);
+        }
+        assertTrue(gateway.refused.isEmpty(), gateway.refused.size() + " of 50 refused");
+    }
+
     /** Guards against hedges that multiply the load where all hosts pause. */
     @Test
     void hedgesStayWithinTheRetryBudget() {
