--- a/src/test/java/mastdrift/StalledResponseTest.java
+++ b/src/test/java/mastdrift/StalledResponseTest.java
@@ -61,7 +61,8 @@
         assertEquals(2, gateway.sendsOf(id).size());
     }
 
-    /** Guards against refusals at a host that pauses within its answers: the time since the send is no wait in its queue. */
+    /** Guards against refusals at a host that pauses within its answers: the time since the send is no wait in its
+        queue. */
     @Test
     void ageOfAStalledAttemptIsNoSignOfAQueue() {
         gateway.idempotency = Idempotency.UNSAFE;
