Reject messages with a transfer coding that the gateway can't decode

Callers got compressed bytes as the body of a 200, with nothing to tell so: a host's "Transfer-Encoding: gzip, chunked" passed for plain chunks, since the check asks whether the list of codings holds "chunked". Requests alike: the coded bytes ran at a host.

A message now has "chunked", once and alone, or it counts as unreadable: a response is a failed attempt that may have run; a request gets 501 and a close, or 400 where not even its end is known. The event upstream_failed names the cause.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -312,9 +313,16 @@
         }
     }
 
-    /** An HTTP request decoder that tells whether it holds undecoded input. */
+    /** An HTTP request decoder that tells whether it holds undecoded input. Rejects a request with a transfer coding
+        that the gateway can't decode. */
     private static final class RequestDecoder extends HttpRequestDecoder {
 
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            TransferCoding.requireSupported(message);
+            return super.isContentAlwaysEmpty(message);
+        }
+
         /** Whether bytes have been read that were not decoded to a part of a request yet. */
         boolean hasPartialInput() {
             return actualReadableBytes() > 0;
@@ -564,10 +572,7 @@
             request.setUri(originForm(request.uri()));
             String path = new QueryStringDecoder(request.uri()).rawPath();
             if (decodeError != null) {
-                boolean bodyTooLong = decodeError instanceof TooLongFrameException
-                        && "body".equals(decodeError.getMessage());
-                writeEmptyResponse(bodyTooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
-                        : HttpResponseStatus.BAD_REQUEST, true);
+                writeEmptyResponse(statusOf(decodeError), true);
             } else if (path.equals("/ready")) {
                 boolean get = request.method().equals(HttpMethod.GET);
                 writeEmptyResponse(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
@@ -579,6 +584,16 @@
             }
         }
 
+        /** The status of the response to a request that could not be decoded. */
+        private static HttpResponseStatus statusOf(Throwable decodeError) {
+            if (decodeError instanceof TransferCoding.UnsupportedException) {
+                return HttpResponseStatus.NOT_IMPLEMENTED;
+            }
+            boolean bodyTooLong = decodeError instanceof TooLongFrameException
+                    && "body".equals(decodeError.getMessage());
+            return bodyTooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+        }
+
         /** Converts a request target in absolute form to origin form, which hosts are sent. */
         private static String originForm(String uri) {
             int scheme = uri.regionMatches(true, 0, "http://", 0, 7) ? 7 : 0;
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -449,8 +449,8 @@
         }
     }
 
-    /** Decodes responses. Rejects one with both a content length and chunked encoding, and one with neither on a
-        persistent connection: where it ends would be a guess. */
+    /** Decodes responses. Rejects one with a transfer coding that the gateway can't decode, one with both a content
+        length and chunked encoding, and one with neither on a persistent connection: where it ends would be a guess. */
     private static final class ResponseDecoder extends HttpResponseDecoder {
 
         private boolean responseStarted;
@@ -463,6 +463,7 @@
 
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            TransferCoding.requireSupported(message);
             boolean empty = super.isContentAlwaysEmpty(message);
             boolean hasLength = HttpUtil.isContentLengthSet(message);
             boolean isChunked = HttpUtil.isTransferEncodingChunked(message);
@@ -610,6 +611,9 @@
             attempt = null;
             if (current == null) {
                 unexpectedDataReceived();
+            } else if (!valid) {
+                log.add(EventLog.Event.UPSTREAM_FAILED, "at", address, "cause", response.decoderResult().cause(),
+                        "written", current.requestWritten);
             }
             responseComplete = current != null && !current.finished && current.requestWritten && valid
                     && HttpUtil.isKeepAlive(response);
