Pass the content coding of a body on, in both directions

A compressed body reached its receiver unchanged but without the header that says so, since of the headers on a body Content-Type alone was copied (in two places). EntityHeaders names them and copies them for requests and responses.

TransferCodingTest.passesContentCodingOnInBothDirections failed before in 2 of 2 cases (a short and a long body) and holds now.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -687,22 +687,16 @@
             ByteBuf body = response.content().retain();
             FullHttpResponse clientResponse = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     body);
-            copyContentType(response, clientResponse);
+            EntityHeaders.copy(response, clientResponse);
             writeResponse(clientResponse, false);
         }
 
-        private static void copyContentType(HttpResponse from, HttpResponse to) {
-            if (from.headers().contains(HttpHeaderNames.CONTENT_TYPE)) {
-                to.headers().set(HttpHeaderNames.CONTENT_TYPE, from.headers().get(HttpHeaderNames.CONTENT_TYPE));
-            }
-        }
-
         /** Declares the body's length if it is known; otherwise sends chunks or, to a client without HTTP/1.1, a body
             that ends with the connection. */
         @Override
         public void startStreaming(FullHttpResponse response, BodyRelay bodyRelay, Consumer<Boolean> onWritten) {
             HttpResponse clientResponse = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            copyContentType(response, clientResponse);
+            EntityHeaders.copy(response, clientResponse);
             boolean lengthKnown = HttpUtil.isContentLengthSet(response);
             boolean chunked = !lengthKnown && currentRequest.protocolVersion().equals(HttpVersion.HTTP_1_1);
             if (lengthKnown) {
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -571,9 +571,7 @@
         } else if (body.isReadable() || original.method().equals(HttpMethod.POST)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
-        if (original.headers().contains(HttpHeaderNames.CONTENT_TYPE)) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, original.headers().get(HttpHeaderNames.CONTENT_TYPE));
-        }
+        EntityHeaders.copy(original, request);
         return request;
     }
 
--- a/src/test/java/mastdrift/net/TransferCodingTest.java
+++ b/src/test/java/mastdrift/net/TransferCodingTest.java
@@ -7,6 +7,7 @@
 import static mastdrift.net.Loopback.hostList;
 import static mastdrift.net.Loopback.hostResponding;
 import static mastdrift.net.Loopback.post;
+import static mastdrift.net.Loopback.response;
 import static mastdrift.net.Loopback.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -75,4 +76,23 @@
             assertEquals("coded", host.received.poll().bodyText());
         }
     }
+
+    /** Guards against a body whose receiver can't tell that it is compressed: its content coding was left behind. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100_000})
+    void passesContentCodingOnInBothDirections(int length) throws Exception {
+        String body = "x".repeat(length);
+        try (Server discovery = discoveryServer(); Server host = new Server(message -> write(message.socket(),
+                response("200 OK", body).replace("\r\n\r\n", "\r\nContent-Encoding: gzip\r\nContent-Encoding: br\r\n\r\n")));
+                GatewayNode node = startNode(discovery, host)) {
+            Message answer = node.sendRequest(post("once", 20_000, body).replace("X-Qos",
+                    "Content-Encoding: deflate\r\nContent-Type: text/plain\r\nX-Qos"));
+            assertEquals(body, answer.bodyText());
+            assertEquals(2, answer.head().split("(?i)content-encoding: (gzip|br)\r\n", -1).length - 1, answer.head());
+            Message forwarded = host.received.poll();
+            assertEquals(body, forwarded.bodyText());
+            assertEquals("deflate", forwarded.header("Content-Encoding"));
+            assertEquals("text/plain", forwarded.header("Content-Type"));
+        }
+    }
 }
