End an attempt ahead of its request's deadline where the event loop was late

A request whose host is silent was answered 504 in place of the module's 503 when the loop needed over 2 ms between a request and its attempt: the attempt's timer ran from the later time and the gateway's own, for requests that the module leaves open, came first.

ServingTest.answersAtTheDeadlineThoughHostIsSilent failed wherever its class ran alone (4 of 4 runs on, on a virtual machine that had just started); with the attempt bounded by what is left: 4 of 4 held.

--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -464,7 +464,9 @@
         int number = exchange.attempts.size();
         boolean rejected = exchange.ended || exchange.requestStreaming || number >= settings.limits().maxAttempts();
         FullHttpRequest request = upstreamRequest(exchange);
-        exchange.attempts.add(hostPool.send(hostId, request, exchange.bodyRelay, rejected ? 0 : timeout,
+        // The module's time may be some milliseconds old: the attempt must end ahead of the request's deadline.
+        long timeLeft = rejected ? 0 : Math.min(timeout, exchange.deadline - now());
+        exchange.attempts.add(hostPool.send(hostId, request, exchange.bodyRelay, timeLeft,
                 new AttemptHandler(exchange, number, hostId)));
         exchange.unresolvedAttempts++;  // not before: a send that threw an exception has no outcome
     }
