Bound the memory held for messages over all connections, in one place

Each connection decoded up to nine requests ahead and nothing bounded them together.

MessageMemory owns three pools (input read ahead, requests, responses) that count buffers with their overhead. A connection decodes ahead while its requests hold under 32 KiB; a body over 4 KiB is reserved whole, in order; who waits is not read and is refused with 503 after 0.5 s; relays hold 4 KiB each while their pool is exhausted. Bodies that hold a part each and wait for the rest would not end: hence whole reservations.

--- a/src/main/java/mastdrift/net/BodyRelay.java
+++ b/src/main/java/mastdrift/net/BodyRelay.java
@@ -14,8 +14,13 @@
 
     // A single read may exceed it.
     private static final int MAX_BUFFERED_BYTES = 32 << 10;
+    // The limit while the pool is exhausted, so that each body still goes on.
+    private static final int RESERVED_BYTES = 4 << 10;
 
+    private final MemoryPool pool;
     private final ByteQueue buffered = new ByteQueue();
+    private boolean full;
+    private long countedBytes;  // what the pool counts for this relay
     private boolean complete;
     private boolean failed;
     private boolean abandoned;
@@ -25,6 +30,19 @@
     private Channel target;
     private Consumer<Boolean> onWritten;
 
+    /** What the relay holds is counted in the pool. */
+    BodyRelay(MemoryPool pool) {
+        this.pool = pool;
+    }
+
+    private void updateHeld() {
+        long held = buffered.heldBytes();
+        pool.add(held - countedBytes);
+        countedBytes = held;
+        int bytes = buffered.readableBytes();
+        full = bytes >= MAX_BUFFERED_BYTES || bytes >= RESERVED_BYTES && pool.isExhausted();
+    }
+
     // ---- the reading side
 
     /** {@code listener} runs when the relay becomes full and when it is no longer full. */
@@ -40,6 +58,7 @@
             return;
         }
         buffered.add(piece);
+        updateHeld();
         if (isFull()) {
             resumeWriting();
         }
@@ -67,12 +86,13 @@
         failed = !complete;
         if (target == null && failed) {
             buffered.clear();
+            updateHeld();
         }
         resumeWriting();
     }
 
     boolean isFull() {
-        return buffered.readableBytes() >= MAX_BUFFERED_BYTES;
+        return full;
     }
 
     boolean isComplete() {
@@ -114,6 +134,7 @@
             channel.flush();  // may make the channel writable again, or close it and abandon this relay
         }
         writing = false;
+        updateHeld();
         if (wasFull && !isFull()) {
             onFullChange.run();
         }
@@ -134,6 +155,7 @@
         abandoned = true;
         target = null;
         buffered.clear();
+        updateHeld();
         onFullChange.run();
     }
 }
--- a/src/main/java/mastdrift/net/ByteQueue.java
+++ b/src/main/java/mastdrift/net/ByteQueue.java
@@ -48,7 +48,6 @@
         boolean mostlyUsed = buffer.readableBytes() >= MIN_BUFFER_BYTES
                 && 2 * buffer.readableBytes() >= buffer.capacity();
         if (mostlyUsed) {
-            buffer.capacity(buffer.writerIndex());
             readableBytes += buffer.readableBytes();
             addBuffer(buffer);
         } else {
--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -62,8 +62,12 @@
     // The system would grow the send buffer to megabytes and report it writable only once a third of it is free: a
     // client that reads 64 kB a second would seem to read nothing for longer than the write timeout.
     private static final int SEND_BUFFER_BYTES = 128 << 10;
-    // Limit, over all client connections, of what is read ahead of its turn.
-    private static final int MAX_READ_AHEAD_BYTES = 8 << 20;
+    // Requests of one connection that are open or wait hold so much, and one more; further input waits undecoded.
+    private static final long MAX_DECODED_BYTES = 32 << 10;
+    // What a request's head, its objects and its place in the queue take at least.
+    private static final long REQUEST_OVERHEAD_BYTES = 2 << 10;
+    // A request that has waited so long for memory is refused: its client's time is running.
+    private static final long MEMORY_TIMEOUT_MILLIS = 500;
     // At a shutdown, new connections arrive for a while until the load balancer in front has noticed it.
     static final long SHUTDOWN_ACCEPT_MILLIS = 500;
     // At a shutdown, open connections are served for up to MAX_SHUTDOWN_SERVE_MICROS, since other gateways may be down
@@ -100,8 +104,7 @@
     private final Map<String, RequestClass> requestClasses = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final ConnectionLimit<ClientConnection> connections;
-    private final ReadAheadHandler.MemoryBudget readAheadBudget =
-            new ReadAheadHandler.MemoryBudget(MAX_READ_AHEAD_BYTES);
+    private final MessageMemory memory;
     private final Set<String> openTraceIds = new HashSet<>();  // trace ids of requests without a response
     private TcpServerChannel serverChannel;
     private boolean sweepScheduled;
@@ -117,6 +120,7 @@
         this.loop = loop;
         this.gateway = gateway;
         this.lifecycle = lifecycle;
+        memory = gateway.memory();
         connections = new ConnectionLimit<>(loop, maxConnections, this::setAccepting,
                 () -> gateway.metrics().increment(GatewayMetrics.Counter.CLIENTS_PUSHED_OUT));
         settings.classes().forEach(type -> requestClasses.put(type.name(), type));
@@ -129,7 +133,7 @@
 
     /** Whether no input of clients is held that was read ahead of its turn. */
     boolean hasNoReadAheadData() {
-        return readAheadBudget.isUnused();
+        return memory.readAhead.isUnused();
     }
 
     InetSocketAddress address() {
@@ -272,6 +276,7 @@
     private void sweep() {
         LoopMonitor monitor = gateway.loopMonitor();
         monitor.check();
+        gateway.metrics().recordPeak(GatewayMetrics.Peak.HELD_KIB, memory.usedKibibytes());
         long now = monitor.taskStarted();
         if (serverChannel != null) {
             serverChannel.pollUnlessNotified();
@@ -296,10 +301,24 @@
     }
 
     /** A request that waits for its turn on its connection; {@code bodyRelay} is null if it is complete. */
-    private record PendingRequest(FullHttpRequest request, BodyRelay bodyRelay, long receivedAt) {
+    private record PendingRequest(FullHttpRequest request, BodyRelay bodyRelay, MemoryPool.Reservation memory,
+            long heldBytes, long receivedAt) {
+
+        /** {@code heldBytes} is the memory that it holds, overhead included. */
+        private PendingRequest(MessageAggregator.AggregatedMessage message, long receivedAt) {
+            this((FullHttpRequest) message.message(), message.bodyRelay(), message.memory(),
+                    REQUEST_OVERHEAD_BYTES + message.message().content().capacity(), receivedAt);
+        }
+
+        private void releaseMemory() {
+            if (memory != null) {
+                memory.release();
+            }
+        }
 
         /** Releases a request that is not going to be handled. */
         private void discard() {
+            releaseMemory();
             request.release();
             if (bodyRelay != null) {
                 bodyRelay.abandon();
@@ -328,12 +347,16 @@
             implements Gateway.Client, ConnectionLimit.Evictable {
 
         private final Channel channel;
-        private final ReadAheadHandler readAhead = new ReadAheadHandler(readAheadBudget, this::isDisconnectRelevant,
-                gateway::now);
+        private final ReadAheadHandler readAhead = new ReadAheadHandler(memory.readAhead,
+                this::isDisconnectRelevant, gateway::now);
         private final RequestDecoder decoder = new RequestDecoder();
-        private final MessageAggregator aggregator = new MessageAggregator();
+        private final MessageAggregator aggregator = new MessageAggregator(memory.requests, true);
         private final RequestReadTimer readTimer = new RequestReadTimer();
         private final Queue<PendingRequest> pendingRequests = new ArrayDeque<>();
+        private PendingRequest current;  // null if none is being handled
+        private long decodedBytes;  // what the current and the pending requests hold
+        private boolean awaitingMemory;  // for the request that is being read
+        private Future<?> memoryTimer;
         private FullHttpRequest currentRequest;
         private BodyRelay currentBody;  // null if the current request was complete when it was passed on
         private BodyRelay incomingBody;  // of the request that is being read, the current one or a later one
@@ -352,10 +375,12 @@
             this.channel = channel;
         }
 
-        /** Pauses reading while enough requests wait or the relay of the incoming body is full. */
+        /** Pauses reading while enough requests are held, the relay of the incoming body is full, or the request that is
+            being read waits for memory. */
         private void updateReadPause() {
-            boolean mayRead = pendingRequests.size() <= MAX_PIPELINED_REQUESTS
-                    && (incomingBody == null || !incomingBody.isFull());
+            boolean hasRoom = incomingBody != null ? !incomingBody.isFull()
+                    : pendingRequests.size() <= MAX_PIPELINED_REQUESTS && decodedBytes < MAX_DECODED_BYTES;
+            boolean mayRead = hasRoom && !awaitingMemory;
             if (readTimer.setPaused(!mayRead, gateway.now())) {
                 readAhead.setPaused(!mayRead);
             }
@@ -428,6 +453,7 @@
         private void discardPending() {
             pendingRequests.forEach(PendingRequest::discard);
             pendingRequests.clear();
+            decodedBytes = current == null ? 0 : current.heldBytes;
         }
 
         /** Closes the connection at once, for a reason other than the client's. */
@@ -457,6 +483,7 @@
             if (exchange != null) {
                 exchange.clientLeft();
             }
+            currentEnded();
             if (currentBody != null) {
                 currentBody.abandon();
             }
@@ -469,7 +496,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, MessageAggregator.AggregatedMessage part) {
             if (outputShutDown) {  // decoded from the same read as the request that ended the connection
-                new PendingRequest((FullHttpRequest) part.message(), part.bodyRelay(), 0).discard();
+                new PendingRequest(part, 0).discard();
                 return;
             }
             requestRead = true;
@@ -482,7 +509,9 @@
                 readTimer.start(gateway.now());
                 incomingBody.onFullChange(this::updateReadPause);
             }
-            pendingRequests.add(new PendingRequest((FullHttpRequest) part.message(), incomingBody, gateway.now()));
+            PendingRequest read = new PendingRequest(part, gateway.now());
+            pendingRequests.add(read);
+            decodedBytes += read.heldBytes;
             updateReadPause();
             if (currentRequest == null) {
                 startNextRequest();
@@ -497,6 +526,7 @@
                 boolean complete = incomingBody.isComplete();
                 incomingBody = null;
                 readTimer.stop();
+                updateReadPause();
                 if (!complete) {
                     close(CloseReason.REQUEST_BROKEN);
                 }
@@ -518,6 +548,28 @@
                 continueExpected = true;
                 sendContinueIfDue();
             }
+            if (event == MessageAggregator.Event.MEMORY_NEEDED) {
+                setAwaitingMemory(true);
+                memoryTimer = loop.schedule(this::refuseForMemory, MEMORY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            if (event == MessageAggregator.Event.MEMORY_GRANTED) {
+                memoryTimer.cancel(false);
+                setAwaitingMemory(false);
+            }
+        }
+
+        /** While the request that is being read waits for memory, its client waits. */
+        private void setAwaitingMemory(boolean awaiting) {
+            awaitingMemory = awaiting;
+            updateReadPause();
+        }
+
+        private void refuseForMemory() {
+            if (awaitingMemory && channel.isActive()) {
+                gateway.metrics().increment(GatewayMetrics.Counter.REFUSED_FOR_MEMORY);
+                aggregator.refuseForMemory(channel.pipeline().context(aggregator));
+                setAwaitingMemory(false);
+            }
         }
 
         /** Sends a 100 response once it is the turn of the request that expects it. */
@@ -550,6 +602,7 @@
                 return;
             }
             connections.requestReceived(this);
+            current = next;
             currentRequest = next.request;
             currentBody = next.bodyRelay;
             sendContinueIfDue();
@@ -583,6 +636,9 @@
             if (decodeError instanceof TransferCoding.UnsupportedException) {
                 return HttpResponseStatus.NOT_IMPLEMENTED;
             }
+            if (decodeError instanceof MessageAggregator.MemoryExhaustedException) {
+                return HttpResponseStatus.SERVICE_UNAVAILABLE;
+            }
             boolean bodyTooLong = decodeError instanceof TooLongFrameException
                     && "body".equals(decodeError.getMessage());
             return bodyTooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
@@ -764,6 +820,7 @@
             if (currentBody != null) {
                 currentBody.abandon();  // its body has been streamed, or is not needed
             }
+            currentEnded();
             currentRequest = null;
             currentBody = null;
             if (keepAlive) {
@@ -773,6 +830,14 @@
             }
         }
 
+        private void currentEnded() {
+            if (current != null) {
+                current.releaseMemory();
+                decodedBytes -= current.heldBytes;
+                current = null;
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             boolean causedByClient = cause instanceof IOException || cause instanceof CodecException;
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -165,6 +165,7 @@
     private final GatewayMetrics metrics;
     private final EventLog log;
     private final LoopMonitor loopMonitor;
+    private final MessageMemory memory = new MessageMemory();
     private final int maxOpenRequests;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final Queue<Runnable> pendingEvents = new ArrayDeque<>();
@@ -199,7 +200,7 @@
         this.maxOpenRequests = Math.min(maxOpenRequests, settings.limits().maxOpenRequests());
         hostPool = new HostConnectionPool(loop, this::now, loopMonitor, settings.connections().dialTimeout(),
                 settings.connections().idleTimeout(),
-                settings.guarantees().drainGrace(), maxHostConnections, metrics, log);
+                settings.guarantees().drainGrace(), maxHostConnections, memory.responses, metrics, log);
         discovery = new DiscoveryClient(loop, config.discoveryAddress(), config.initialHosts().revision(),
                 list -> hostListReceived(list, list.full() ? ListUpdateType.FULL : ListUpdateType.DELTA),
                 this::hostListFailed);
@@ -231,6 +232,11 @@
         return log;
     }
 
+    /** What is held for the messages of all connections. */
+    MessageMemory memory() {
+        return memory;
+    }
+
     /** Measures how long the event loop's tasks take. */
     LoopMonitor loopMonitor() {
         return loopMonitor;
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -126,19 +126,22 @@
     private long idleTimeout;
     private final long drainGrace;
     private final int maxConnections;
+    private final MemoryPool responseMemory;
     private final Map<String, PooledHost> hosts = new HashMap<>();
     private final GatewayMetrics metrics;
     private final EventLog log;
     private int connectionCount;
 
-    /** Creates a pool of at most {@code maxConnections} connections. The clock and all durations are in
-        microseconds. */
+    /** Creates a pool of at most {@code maxConnections} connections, whose responses are counted in
+        {@code responseMemory}. The clock and all durations are in microseconds. */
     HostConnectionPool(EventLoop loop, LongSupplier clock, LoopMonitor monitor, long connectTimeout,
-            long hostIdleTimeout, long drainGrace, int maxConnections, GatewayMetrics metrics, EventLog log) {
+            long hostIdleTimeout, long drainGrace, int maxConnections, MemoryPool responseMemory, GatewayMetrics metrics,
+            EventLog log) {
         this.loop = loop;
         this.clock = clock;
         this.drainGrace = Math.max(0, drainGrace - DRAIN_GRACE_MARGIN_MICROS);
         this.maxConnections = maxConnections;
+        this.responseMemory = responseMemory;
         this.metrics = metrics;
         this.log = log;
         idleTimeout = (long) (hostIdleTimeout * IDLE_TIMEOUT_FRACTION);
@@ -152,7 +155,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         ResponseDecoder decoder = new ResponseDecoder();
-                        MessageAggregator aggregator = new MessageAggregator();
+                        MessageAggregator aggregator = new MessageAggregator(responseMemory, false);
                         channel.pipeline().addLast(new HttpRequestEncoder(),
                                 new ReadTimingHandler(monitor, LoopMonitor.Task.UPSTREAM_READ), decoder, aggregator,
                                 new HostConnection(channel, decoder, aggregator));
@@ -792,7 +795,7 @@
             if (aggregator.hasPartialBodyOfUnknownLength()) {
                 long now = clock.getAsLong();
                 current.responseSeenAt = current.responseSeenAt == 0 ? now : current.responseSeenAt;
-                if (now - current.responseSeenAt >= MAX_AGGREGATION_MICROS) {
+                if (now - current.responseSeenAt >= MAX_AGGREGATION_MICROS || responseMemory.isExhausted()) {
                     passOnPart();
                 }
             }
--- /dev/null
+++ b/src/main/java/mastdrift/net/MemoryPool.java
@@ -0,0 +1,96 @@
+package mastdrift.net;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/** Counts the memory that a gateway holds for one purpose over all its connections, overhead included, against a bound.
+    At the bound, those who fill the pool stop reading from their peers. What has to be held whole is reserved ahead, in
+    the order of the requests for it: messages that are held in part and wait for each other's memory would never end.
+    Used on one event loop's thread. */
+final class MemoryPool {
+
+    /** Memory that is set aside, or waited for. */
+    final class Reservation {
+
+        private final long bytes;
+        private final Runnable onGranted;
+        private boolean granted;
+        private boolean released;
+
+        private Reservation(long bytes, Runnable onGranted) {
+            this.bytes = bytes;
+            this.onGranted = onGranted;
+        }
+
+        boolean isGranted() {
+            return granted;
+        }
+
+        /** Returns the memory, or gives up waiting for it. Has no effect if that was done before. */
+        void release() {
+            if (released) {
+                return;
+            }
+            released = true;
+            if (granted) {
+                add(-bytes);
+            } else {
+                waiting.remove(this);
+                grantWaiting();
+            }
+        }
+    }
+
+    private final long maxBytes;
+    private long usedBytes;
+    private final Queue<Reservation> waiting = new ArrayDeque<>();
+
+    MemoryPool(long maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /** Counts memory that is held from now on; a negative number is memory that was released. */
+    void add(long bytes) {
+        usedBytes += bytes;
+        if (bytes < 0) {
+            grantWaiting();
+        }
+    }
+
+    /** Reserves memory; {@code onGranted} runs once it is there, unless that is at once. */
+    Reservation reserve(long bytes, Runnable onGranted) {
+        Reservation reservation = new Reservation(bytes, onGranted);
+        if (waiting.isEmpty() && usedBytes + bytes <= maxBytes) {
+            grant(reservation);
+        } else {
+            waiting.add(reservation);
+        }
+        return reservation;
+    }
+
+    private void grant(Reservation reservation) {
+        reservation.granted = true;
+        usedBytes += reservation.bytes;
+    }
+
+    private void grantWaiting() {
+        for (Reservation next = waiting.peek(); next != null && usedBytes + next.bytes <= maxBytes;
+                next = waiting.peek()) {
+            waiting.remove();
+            grant(next);
+            next.onGranted.run();
+        }
+    }
+
+    boolean isExhausted() {
+        return usedBytes >= maxBytes;
+    }
+
+    boolean isUnused() {
+        return usedBytes == 0;
+    }
+
+    long usedBytes() {
+        return usedBytes;
+    }
+}
--- a/src/main/java/mastdrift/net/MessageAggregator.java
+++ b/src/main/java/mastdrift/net/MessageAggregator.java
@@ -30,12 +30,26 @@
     static final long MAX_BODY_BYTES = 32L << 20;
     private static final int MIN_BODY_BUFFER_BYTES = 256;
 
+    /** A body up to this size needs no reservation: small requests are served however much memory others hold. */
+    static final int UNRESERVED_BYTES = 4 << 10;
+
+    /** No memory became free for a message in time. */
+    static final class MemoryExhaustedException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
     /** A message with the part of its body that has arrived, which the receiver releases; {@code bodyRelay} supplies
         the rest, and is null if the message is complete. */
-    record AggregatedMessage(FullHttpMessage message, BodyRelay bodyRelay) { }
+    record AggregatedMessage(FullHttpMessage message, BodyRelay bodyRelay, MemoryPool.Reservation memory) { }
 
-    /** CONTINUE_EXPECTED: the client waits for a 100 response before it sends the body of the request. */
-    enum Event { CONTINUE_EXPECTED }
+    /** CONTINUE_EXPECTED: the client waits for a 100 response before it sends the body of the request. MEMORY_NEEDED:
+        the message's body has to wait for memory. MEMORY_GRANTED: it need not any longer. */
+    enum Event { CONTINUE_EXPECTED, MEMORY_NEEDED, MEMORY_GRANTED }
+
+    private final MemoryPool pool;
+    private final boolean reserving;
+    private MemoryPool.Reservation reservation;  // for the message that is being aggregated, or null
+    private long countedBytes;  // what the pool counts for that message without a reservation
 
     private HttpMessage head;  // of the message that is being aggregated, null if there is none
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -43,6 +57,13 @@
     private long contentLength;  // as declared by the head, negative if it is not
     private long bytes;
 
+    /** What is held is counted in the pool. If {@code reserving}, memory for a body that is not small is reserved in it
+        ahead; the receiver should not deliver more between the events MEMORY_NEEDED and MEMORY_GRANTED. */
+    MessageAggregator(MemoryPool pool, boolean reserving) {
+        this.pool = pool;
+        this.reserving = reserving;
+    }
+
     /** How much of the body of the current message has arrived; 0 between two messages. */
     long bytes() {
         return bytes;
@@ -60,7 +81,7 @@
 
     /** Passes on the part that has arrived, with a relay for the rest of the body. */
     void startRelay(ChannelHandlerContext context) {
-        activeRelay = new BodyRelay();
+        activeRelay = new BodyRelay(pool);
         emit(context, null, activeRelay);
     }
 
@@ -90,9 +111,36 @@
         }
         if (message instanceof HttpRequest && contentLength > MAX_AGGREGATED_BYTES) {
             startRelay(context);
+        } else if (contentLength > UNRESERVED_BYTES) {
+            reserve(context, contentLength);
+        }
+    }
+
+    private void reserve(ChannelHandlerContext context, long bytes) {
+        if (!reserving || reservation != null) {
+            return;
+        }
+        reservation = pool.reserve(bytes, () -> context.fireUserEventTriggered(Event.MEMORY_GRANTED));
+        if (!reservation.isGranted()) {
+            context.fireUserEventTriggered(Event.MEMORY_NEEDED);
         }
     }
 
+    /** Ends the wait for memory: passes the message on as failed, and ignores the rest of its body. */
+    void refuseForMemory(ChannelHandlerContext context) {
+        if (head != null && reservation != null && !reservation.isGranted()) {
+            body.release();
+            body = Unpooled.EMPTY_BUFFER;
+            emit(context, new MemoryExhaustedException(), null);
+        }
+    }
+
+    private void updateHeld() {
+        long held = reservation == null ? body.capacity() : 0;
+        pool.add(held - countedBytes);
+        countedBytes = held;
+    }
+
     private static TooLongFrameException bodyTooLong() {
         return new TooLongFrameException("body");
     }
@@ -135,6 +183,10 @@
             body = context.alloc().buffer(Math.max(MIN_BODY_BUFFER_BYTES, piece.readableBytes()));
         }
         body.writeBytes(piece);
+        if (contentLength < 0 && body.readableBytes() > UNRESERVED_BYTES) {
+            reserve(context, MAX_AGGREGATED_BYTES);
+        }
+        updateHeld();
     }
 
     private void emit(ChannelHandlerContext context, Throwable error, BodyRelay relay) {
@@ -146,10 +198,23 @@
         if (error != null) {
             message.setDecoderResult(DecoderResult.failure(error));
         }
+        MemoryPool.Reservation memory = relay == null ? reservation : null;
         head = null;
         body = Unpooled.EMPTY_BUFFER;
         bytes = relay == null ? 0 : bytes;
-        context.fireChannelRead(new AggregatedMessage(message, relay));
+        if (relay != null) {
+            releaseReservation();
+        }
+        reservation = null;
+        updateHeld();
+        context.fireChannelRead(new AggregatedMessage(message, relay, memory));
+    }
+
+    private void releaseReservation() {
+        if (reservation != null) {
+            reservation.release();
+            reservation = null;
+        }
     }
 
     /** All that has arrived has been read: what came of a body that is passed on is written. */
@@ -177,6 +242,8 @@
         body.release();
         body = Unpooled.EMPTY_BUFFER;
         head = null;
+        releaseReservation();
+        updateHeld();
         if (activeRelay != null) {
             activeRelay.fail();
             activeRelay = null;
--- /dev/null
+++ b/src/main/java/mastdrift/net/MessageMemory.java
@@ -0,0 +1,22 @@
+package mastdrift.net;
+
+/** The memory that a gateway holds for the messages of all its connections: the one owner of its bounds. Together with
+    what the connections may hold beside, they stay below the direct memory that the deploy file's {@code run} allows. */
+final class MessageMemory {
+
+    /** What clients have sent and the gateway has not decoded. */
+    final MemoryPool readAhead = new MemoryPool(6L << 20);
+    /** Requests that are being read, wait for their turn or are open, and bodies on their way to hosts. */
+    final MemoryPool requests = new MemoryPool(10L << 20);
+    /** Responses that are being read, and bodies on their way to clients. */
+    final MemoryPool responses = new MemoryPool(8L << 20);
+
+    boolean isUnused() {
+        return readAhead.isUnused() && requests.isUnused() && responses.isUnused();
+    }
+
+    /** What is held at the moment, in KiB. */
+    int usedKibibytes() {
+        return (int) ((readAhead.usedBytes() + requests.usedBytes() + responses.usedBytes()) >> 10);
+    }
+}
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -30,28 +28,12 @@
     // Limit for one connection whose receiver pauses.
     private static final int MAX_READ_AHEAD_BYTES = 1 << 20;
 
-    /** The memory that all connections of one gateway may use together. */
-    static final class MemoryBudget {
-
-        private final int maxBytes;
-        private int usedBytes;  // capacity of the buffers of all connections
-
-        /** While their receivers pause, connections buffer about {@code maxBytes} together. */
-        MemoryBudget(int maxBytes) {
-            this.maxBytes = maxBytes;
-        }
-
-        boolean isUnused() {
-            return usedBytes == 0;
-        }
-    }
-
-    private final MemoryBudget budget;
+    private final MemoryPool pool;
     private final BooleanSupplier disconnectRelevant;
     private final LongSupplier clock;
-    private final Queue<ByteBuf> buffers = new ArrayDeque<>();
+    private final ByteQueue buffers = new ByteQueue();
     private ChannelHandlerContext context;
-    private int bufferedBytes;  // capacity of the buffers
+    private int countedBytes;  // what the pool counts for this connection
     private boolean paused;  // delivery is paused
     private boolean discarding;  // input is read and released
     private boolean deliveryScheduled;
@@ -71,8 +53,8 @@
 
     /** {@code disconnectRelevant} is queried while the receiver pauses. The clock counts microseconds from an arbitrary
         origin. */
-    ReadAheadHandler(MemoryBudget budget, BooleanSupplier disconnectRelevant, LongSupplier clock) {
-        this.budget = budget;
+    ReadAheadHandler(MemoryPool pool, BooleanSupplier disconnectRelevant, LongSupplier clock) {
+        this.pool = pool;
         this.disconnectRelevant = disconnectRelevant;
         this.clock = clock;
     }
@@ -112,30 +94,19 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        ByteBuf buffer = paused ? compact((ByteBuf) message) : (ByteBuf) message;
         selectorNotified |= !(from.channel() instanceof TcpChannel connection && connection.isReadingUnprompted());
         readsThisTurn++;
         lastReadAt = clock.getAsLong();
-        buffers.add(buffer);
-        addBufferedBytes(buffer.capacity());
+        buffers.addWhole((ByteBuf) message);
+        updateHeld();
         updateAutoRead();
     }
 
-    /** Copies input that leaves most of its buffer unused, since it may be held for long. */
-    private ByteBuf compact(ByteBuf buffer) {
-        if (2 * buffer.readableBytes() >= buffer.capacity()) {
-            return buffer;
-        }
-        ByteBuf copy = context.alloc().buffer(buffer.readableBytes()).writeBytes(buffer);
-        buffer.release();
-        return copy;
-    }
-
     @Override
     public void channelReadComplete(ChannelHandlerContext from) {
         boolean mayBeMore = readsThisTurn >= MAX_TURN_READS;
         readsThisTurn = 0;
-        if (mayBeMore && !paused && !deliveryScheduled && bufferedBytes < MAX_TURN_BYTES) {
+        if (mayBeMore && !paused && !deliveryScheduled && buffers.heldBytes() < MAX_TURN_BYTES) {
             // The read limit was reached by small pieces: the next turn continues, and its input is delivered with
             // this. A timer is needed since no event follows if there is no more input.
             from.channel().eventLoop().schedule(this::scheduleDelivery, NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
@@ -150,9 +121,10 @@
         from.fireChannelInactive();
     }
 
-    private void addBufferedBytes(int bytes) {
-        bufferedBytes += bytes;
-        budget.usedBytes += bytes;
+    private void updateHeld() {
+        int held = buffers.heldBytes();
+        pool.add(held - countedBytes);
+        countedBytes = held;
     }
 
     /** Delivers the input after the events of this turn of the loop, which may include a disconnect, and never while
@@ -173,7 +145,7 @@
         boolean delivered = false;
         while (!paused && !buffers.isEmpty()) {
             ByteBuf next = buffers.poll();
-            addBufferedBytes(-next.capacity());
+            updateHeld();
             delivered = true;
             context.fireChannelRead(next);
         }
@@ -194,9 +166,8 @@
     /** Starts or stops reading, by the memory that is left. Also to be called when other connections may have freed
         some. */
     void updateAutoRead() {
-        boolean hasRoom = !paused ? bufferedBytes < MAX_TURN_BYTES
-                : bufferedBytes < MAX_READ_AHEAD_BYTES && budget.usedBytes < budget.maxBytes
-                && disconnectRelevant.getAsBoolean();
+        boolean hasRoom = !paused ? buffers.heldBytes() < MAX_TURN_BYTES
+                : buffers.heldBytes() < MAX_READ_AHEAD_BYTES && !pool.isExhausted() && disconnectRelevant.getAsBoolean();
         boolean autoRead = !rearmingSelector && (discarding || hasRoom);
         if (autoRead != context.channel().config().isAutoRead()) {
             selectorNotified = false;
@@ -224,9 +195,7 @@
     }
 
     private void releaseBuffers() {
-        for (ByteBuf next = buffers.poll(); next != null; next = buffers.poll()) {
-            addBufferedBytes(-next.capacity());
-            next.release();
-        }
+        buffers.clear();
+        updateHeld();
     }
 }
--- a/src/test/java/mastdrift/net/HostConnectionPoolTest.java
+++ b/src/test/java/mastdrift/net/HostConnectionPoolTest.java
@@ -75,7 +75,7 @@
             EventLog log = new EventLog(clock::get, line -> { });
             HostConnectionPool pool = new HostConnectionPool(loop, clock::get,
                     new LoopMonitor(clock::get, () -> null, metrics, log), CONNECT_TIMEOUT_MICROS, IDLE_TIMEOUT_MICROS,
-                    DRAIN_GRACE_MICROS, maxConnections, metrics, log);
+                    DRAIN_GRACE_MICROS, maxConnections, new MemoryPool(1 << 20), metrics, log);
             update(pool, hostList(1, true, hostEntry("s1", host1.address(), "a", "in_service"),
                     hostEntry("s2", host2.address(), "a", "in_service")));
             return pool;
--- a/src/test/java/mastdrift/net/ReadAheadHandlerTest.java
+++ b/src/test/java/mastdrift/net/ReadAheadHandlerTest.java
@@ -16,7 +16,7 @@
     private static final int MAX_TURN_READS = 16;
 
     private final EmbeddedChannel channel =
-            new EmbeddedChannel(new ReadAheadHandler(new ReadAheadHandler.MemoryBudget(1 << 20), () -> true, () -> 0));
+            new EmbeddedChannel(new ReadAheadHandler(new MemoryPool(1 << 20), () -> true, () -> 0));
 
     private void read(int pieces) {
         Object[] all = new Object[pieces];
