Start no attempt for a client that may have left behind unread input

The end of the connection lies behind what is not read at the bound of 1 MiB, and a request counted as checked when it was decoded, however long ago its input was read.

ReadAheadHandler knows since when no read has found the socket empty; the client counts as connected as of then. Before a later attempt the gateway reads on up to the bound; if more is left, the request is refused (nothing has run) or fails.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -725,11 +725,16 @@
             }
         }
 
-        /** While reading is paused for lack of memory, this tells only what was known before. */
         @Override
-        public boolean isConnected() {
-            ((TcpChannel) channel).readNow();
-            return channel.isActive();
+        public Gateway.ConnectionState checkConnection() {
+            boolean drained = readAhead.readAll();
+            return !channel.isActive() ? Gateway.ConnectionState.DISCONNECTED
+                    : drained ? Gateway.ConnectionState.CONNECTED : Gateway.ConnectionState.UNKNOWN;
+        }
+
+        @Override
+        public long connectedAsOf() {
+            return readAhead.connectedAsOf();
         }
 
         @Override
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -53,10 +53,17 @@
     // disconnected while the event loop was delayed, or the loop may handle a host's event ahead of the client's.
     static final long CLIENT_CHECK_INTERVAL_MICROS = 50_000;
 
+    /** What is known of a client's connection. UNKNOWN: the client has sent more than may be held, behind which it may
+        have disconnected. */
+    enum ConnectionState { CONNECTED, DISCONNECTED, UNKNOWN }
+
     /** The client of a request, which receives exactly one final response. */
     interface Client {
-        /** Reads what has arrived on the connection; false if the client has disconnected. */
-        boolean isConnected();
+        /** Reads what has arrived on the connection, and tells whether the client is connected. */
+        ConnectionState checkConnection();
+
+        /** The last time, on the gateway's clock, at which the client was known to be connected. */
+        long connectedAsOf();
 
         /** Sends a host's complete response, which the caller releases. */
         void sendResponse(FullHttpResponse response);
@@ -81,7 +88,7 @@
         private final String traceId;
         private final BodyRelay bodyRelay;  // the rest of the body, null if the request is complete
         private final long timeBudget;  // from the last byte of the request, in microseconds
-        private long clientCheckedAt = now();  // when the connection was last checked for a disconnect
+        private long clientCheckedAt;  // the client was known to be connected at that time
         private final List<HostConnectionPool.Attempt> attempts = new ArrayList<>(2);
         private Future<?> deadlineTimer;
         private long deadline;  // on the gateway's clock
@@ -102,6 +109,7 @@
             this.bodyRelay = bodyRelay;
             this.timeBudget = timeBudget;
             bodyIncomplete = bodyRelay != null;
+            clientCheckedAt = client.connectedAsOf();
         }
 
         private void startDeadline() {
@@ -466,9 +474,10 @@
     @Override
     public void send(long id, String hostId, long timeout) {
         Exchange exchange = exchanges.get(id);
-        checkClientConnected(exchange);
+        boolean verified = verifyClientConnected(exchange);
         int number = exchange.attempts.size();
-        boolean rejected = exchange.ended || exchange.requestStreaming || number >= settings.limits().maxAttempts();
+        boolean rejected = exchange.ended || !verified || exchange.requestStreaming
+                || number >= settings.limits().maxAttempts();
         FullHttpRequest request = upstreamRequest(exchange);
         // The module's time may be some milliseconds old: the attempt must end ahead of the request's deadline.
         long timeLeft = rejected ? 0 : Math.min(timeout, exchange.deadline - now());
@@ -477,16 +486,41 @@
         exchange.unresolvedAttempts++;  // not before: a send that threw an exception has no outcome
     }
 
-    /** Checks, before an attempt starts, that the client has not disconnected. */
-    private void checkClientConnected(Exchange exchange) {
+    /** Checks, before an attempt starts, that the client has not disconnected; otherwise ends the request. Where that
+        can't be known the attempt must not start. */
+    private boolean verifyClientConnected(Exchange exchange) {
         long now = now();
-        if (exchange.ended || now - exchange.clientCheckedAt < CLIENT_CHECK_INTERVAL_MICROS) {
+        if (exchange.ended || exchange.requestStreaming || now - exchange.clientCheckedAt < CLIENT_CHECK_INTERVAL_MICROS) {
+            return true;
+        }
+        switch (exchange.client.checkConnection()) {
+            case CONNECTED -> exchange.clientCheckedAt = now;
+            case DISCONNECTED -> exchange.clientLeft();
+            case UNKNOWN -> {
+                endUnverified(exchange);
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Answers a request whose client may have disconnected, unless an attempt is under way that may still answer it.
+        Without an attempt it is refused, as nothing of it has run. */
+    private void endUnverified(Exchange exchange) {
+        boolean attempted = exchange.attempts.stream().anyMatch(HostConnectionPool.Attempt::isWriteStarted);
+        if (attempted && exchange.unresolvedAttempts > 0) {
             return;
         }
-        exchange.clientCheckedAt = now;
-        if (!exchange.client.isConnected()) {
-            exchange.clientLeft();
+        metrics.increment(GatewayMetrics.Counter.CLIENTS_UNVERIFIED);
+        finish(exchange);
+        if (attempted) {
+            recordFailure(exchange, "client_unverified");
+            exchange.client.sendFailure(false);
+        } else {
+            metrics.increment(exchange.className, GatewayMetrics.RequestOutcome.REFUSED);
+            exchange.client.sendRefusal(0);
         }
+        dispatch(null, now -> balancer.clientLeft(now, exchange.id));
     }
 
     /** Follows one attempt. Its elapsed time is the host's share: it starts at the last byte of a request that is
@@ -508,8 +542,7 @@
 
         @Override
         public boolean mayWrite() {
-            checkClientConnected(exchange);
-            return !exchange.ended && balancer.mayWrite(now(), exchange.id, number);
+            return verifyClientConnected(exchange) && !exchange.ended && balancer.mayWrite(now(), exchange.id, number);
         }
 
         @Override
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -420,6 +420,11 @@
             }
         }
 
+        /** Whether anything of the request may have reached its host. */
+        boolean isWriteStarted() {
+            return writeStarted;
+        }
+
         /** Ends the attempt at its timeout, unless the start of a response that may be a long one has come in time. */
         private void expire() {
             HostConnection connection = writeStarted ? channel.pipeline().get(HostConnection.class) : null;
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -41,6 +41,8 @@
     private boolean selectorNotified;  // the selector has reported input since reading last began
     private int readsThisTurn;  // in this turn of the loop
     private long lastReadAt;  // the last time that input arrived
+    private long undrainedSince;  // since then no read has found the socket empty, 0 if the last one has
+    private long drainedAt;  // the last time that a read found the socket empty
 
     /** The allocator for the channels of such connections: a turn of the loop reads until there is no more input, and
         so finds a disconnect that follows it. Both may have arrived if the loop was late. */
@@ -64,6 +66,31 @@
         return !buffers.isEmpty();
     }
 
+    /** The last time at which the client was known to be connected: while input is left in the socket, a disconnect may
+        lie behind it. */
+    long connectedAsOf() {
+        if (undrainedSince != 0) {
+            return undrainedSince;
+        }
+        return context.channel().config().isAutoRead() ? clock.getAsLong() : drainedAt;
+    }
+
+    /** Reads until no input is left, or all that may be held is. False if more is left, so that a disconnect may lie
+        behind it. */
+    boolean readAll() {
+        if (!(context.channel() instanceof TcpChannel connection)) {
+            return true;
+        }
+        do {
+            connection.readOnce();
+        } while (connection.isActive() && !connection.isInputDrained() && hasRoomToReadAhead());
+        return !connection.isActive() || connection.isInputDrained();
+    }
+
+    private boolean hasRoomToReadAhead() {
+        return buffers.heldBytes() < MAX_READ_AHEAD_BYTES && !pool.isExhausted();
+    }
+
     /** Pauses or continues delivery. */
     void setPaused(boolean pause) {
         paused = pause;
@@ -97,6 +124,7 @@
         selectorNotified |= !(from.channel() instanceof TcpChannel connection && connection.isReadingUnprompted());
         readsThisTurn++;
         lastReadAt = clock.getAsLong();
+        undrainedSince = undrainedSince == 0 ? lastReadAt : undrainedSince;
         buffers.addWhole((ByteBuf) message);
         updateHeld();
         updateAutoRead();
@@ -106,6 +134,10 @@
     public void channelReadComplete(ChannelHandlerContext from) {
         boolean mayBeMore = readsThisTurn >= MAX_TURN_READS;
         readsThisTurn = 0;
+        if (!(from.channel() instanceof TcpChannel connection) || connection.isInputDrained()) {
+            undrainedSince = 0;
+            drainedAt = clock.getAsLong();
+        }
         if (mayBeMore && !paused && !deliveryScheduled && buffers.heldBytes() < MAX_TURN_BYTES) {
             // The read limit was reached by small pieces: the next turn continues, and its input is delivered with
             // this. A timer is needed since no event follows if there is no more input.
@@ -167,7 +199,7 @@
         some. */
     void updateAutoRead() {
         boolean hasRoom = !paused ? buffers.heldBytes() < MAX_TURN_BYTES
-                : buffers.heldBytes() < MAX_READ_AHEAD_BYTES && !pool.isExhausted() && disconnectRelevant.getAsBoolean();
+                : hasRoomToReadAhead() && disconnectRelevant.getAsBoolean();
         boolean autoRead = !rearmingSelector && (discarding || hasRoom);
         if (autoRead != context.channel().config().isAutoRead()) {
             selectorNotified = false;
--- a/src/main/java/mastdrift/net/TcpChannel.java
+++ b/src/main/java/mastdrift/net/TcpChannel.java
@@ -30,6 +30,7 @@
     private long maxAcceptQueueMicros;
     private boolean readingUnprompted;
     private boolean lastReadFilled;
+    private boolean inputDrained;
 
     /** A channel that is not connected yet. */
     TcpChannel() { }
@@ -65,7 +66,19 @@
     /** Reads what has arrived, including the end of the connection, without waiting for the event loop's next turn.
         Does nothing while reading is paused. Must be called on the loop's thread. */
     void readNow() {
-        if (isActive() && config().isAutoRead()) {
+        if (config().isAutoRead()) {
+            readOnce();
+        }
+    }
+
+    /** Whether the current read comes from {@link #readNow} rather than from the selector. */
+    boolean isReadingUnprompted() {
+        return readingUnprompted;
+    }
+
+    /** Reads once, also while reading is paused. Must be called on the loop's thread. */
+    void readOnce() {
+        if (isActive()) {
             readingUnprompted = true;
             try {
                 unsafe().read();
@@ -75,9 +88,9 @@
         }
     }
 
-    /** Whether the current read comes from {@link #readNow} rather than from the selector. */
-    boolean isReadingUnprompted() {
-        return readingUnprompted;
+    /** Whether the last read found no more input: had the peer closed the connection before, it would have been told. */
+    boolean isInputDrained() {
+        return inputDrained;
     }
 
     /** Whether more input may be waiting in the socket: the last read got as much as it asked for. */
@@ -90,6 +103,7 @@
         int room = into.writableBytes();
         int read = super.doReadBytes(into);
         lastReadFilled = read == room;
+        inputDrained = read <= 0;
         return read < END_OF_STREAM ? NOTHING_READ : read;
     }
 
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -182,6 +182,56 @@
         }
     }
 
+    /** Guards against requests that are sent to hosts for a client that has left: its disconnect lies behind more input
+        than the gateway holds. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void doesNotSendRequestsOfClientThatSentMuchAndLeft(boolean reset) throws Exception {
+        try (Server discovery = discoveryServer(); Server host = new Server(message -> { });
+                GatewayNode node = startNode(discovery, SETTINGS, inService("s1", host.address()))) {
+            Socket client = node.connect();
+            write(client, post("once", 20_000, "x"));
+            Message first = await(host.received);
+            for (int i = 0; i < 40; i++) {
+                write(client, post("once", 20_000, "x".repeat(60_000)).replace("9b1f", "more" + i));
+            }
+            if (reset) {
+                client.setSoLinger(true, 0);
+            }
+            client.close();
+            node.advanceClock(300);
+            write(first.socket(), response("200 OK", "1"));
+            awaitCondition(() -> count(node, GatewayMetrics.Counter.DEPARTED)
+                    + node.server.gateway().metrics().count("once", GatewayMetrics.RequestOutcome.SERVED) > 0);
+            awaitIdle(node);
+            assertEquals(1, count(node, GatewayMetrics.Counter.ATTEMPTS_WRITTEN));
+        }
+    }
+
+    /** A client that sends much and stays gets an answer to each request. */
+    @Test
+    void answersEachRequestOfClientThatSendsMuch() throws Exception {
+        try (Server discovery = discoveryServer(); Server host = Loopback.hostResponding("1");
+                GatewayNode node = startNode(discovery, SETTINGS, inService("s1", host.address()))) {
+            Socket client = node.connect();
+            Thread sender = new Thread(() -> {
+                for (int i = 0; i < 40; i++) {
+                    try {
+                        write(client, post("once", 20_000, "x".repeat(60_000)).replace("9b1f", "more" + i));
+                    } catch (IOException closed) {
+                        return;
+                    }
+                }
+            });
+            sender.setDaemon(true);
+            sender.start();
+            for (int i = 0; i < 40; i++) {
+                int status = Loopback.read(client).status();
+                assertTrue(status == 200 || status == 503, "status " + status);
+            }
+        }
+    }
+
     /** What happens while the gateway's event loop is blocked. */
     private interface Action {
         void run() throws Exception;
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -60,9 +60,14 @@
         }
 
         @Override
-        public boolean isConnected() {
+        public Gateway.ConnectionState checkConnection() {
             connectionChecks++;
-            return connected;
+            return connected ? Gateway.ConnectionState.CONNECTED : Gateway.ConnectionState.DISCONNECTED;
+        }
+
+        @Override
+        public long connectedAsOf() {
+            return System.nanoTime() / 1000;
         }
 
         @Override
