Deliver a client's input in parts, for 1 ms in a turn of the event loop

340 clients that sent bodies in chunks of one byte had others answered after up to 1.9 s; with the check of departed clients one client at full speed was enough to leave others without an answer (15 lost in 6 s, form TINY_CHUNKS_AT_FULL_SPEED). Stack traces: always in the delivery of that one connection, which went on, and ran again in the same turn, while there was input.

A delivery now takes parts of 2 KiB for 1 ms; the next turn continues.

EndingsTest.doesNotExtendDeadlineByWait- ForConnection moved the clock while the body was still being delivered, which it took for granted; it waits until reading is paused now.

--- a/src/main/java/mastdrift/net/ByteQueue.java
+++ b/src/main/java/mastdrift/net/ByteQueue.java
@@ -34,7 +34,7 @@
 
     private ByteBuf lastWithRoom(ByteBuf piece) {
         ByteBuf last = buffers.peekLast();
-        if (last != null && last.isWritable()) {
+        if (last != null && last.isWritable() && last.refCnt() == 1) {
             return last;
         }
         int capacity = Math.max(MIN_BUFFER_BYTES, Math.min(MAX_BUFFER_BYTES, piece.readableBytes()));
@@ -70,6 +70,17 @@
         return first;
     }
 
+    /** Removes the first buffer, or a slice of it if it has more bytes than that; null if the queue is empty. The
+        caller releases what it gets. */
+    ByteBuf poll(int maxBytes) {
+        ByteBuf first = buffers.peek();
+        if (first == null || first.readableBytes() <= maxBytes) {
+            return poll();
+        }
+        readableBytes -= maxBytes;
+        return first.readRetainedSlice(maxBytes);
+    }
+
     boolean isEmpty() {
         return buffers.isEmpty();
     }
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -21,6 +21,10 @@
     private static final int MAX_TURN_BYTES = 32 << 10;
     // Reads of one connection in a turn: a client that keeps sending small pieces must not occupy the loop.
     private static final int MAX_TURN_READS = 16;
+    // Input is delivered in parts of this size, and for so long in one turn: a body in chunks of one byte takes long to
+    // decode, and must not occupy the loop.
+    private static final int DELIVERY_BYTES = 2 << 10;
+    private static final long MAX_DELIVERY_MICROS = FairReadAllocator.MAX_TURN_MICROS;
     // By this time the loop's next turn has read further input.
     private static final long NEXT_TURN_MILLIS = 1;
     // By this time the selector has processed that the socket is not to be watched.
@@ -40,6 +44,8 @@
     private boolean rearmingSelector;  // reading is off for a moment, so that the selector registers it anew
     private boolean selectorNotified;  // the selector has reported input since reading last began
     private int readsThisTurn;  // in this turn of the loop
+    private long deliveryStartedAt;  // the first delivery of the current turn or a moment before, 0 if there is none
+    private long deliveryMicros;  // what deliveries have taken since then
     private long lastReadAt;  // the last time that input arrived
     private long undrainedSince;  // since then no read has found the socket empty, 0 if the last one has
     private long drainedAt;  // the last time that a read found the socket empty
@@ -160,14 +166,27 @@
     }
 
     /** Delivers the input after the events of this turn of the loop, which may include a disconnect, and never while
-        the receiver is at work. */
+        the receiver is at work. If this connection's deliveries have taken their time, the next turn continues. */
     private void scheduleDelivery() {
-        if (!deliveryScheduled && !paused && !buffers.isEmpty()) {
-            deliveryScheduled = true;
+        if (deliveryScheduled || paused || buffers.isEmpty()) {
+            return;
+        }
+        deliveryScheduled = true;
+        if (isTurnUsedUp()) {
+            context.channel().eventLoop().schedule(() -> {
+                deliveryStartedAt = 0;
+                deliver();
+            }, NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
             context.channel().eventLoop().execute(this::deliver);
         }
     }
 
+    private boolean isTurnUsedUp() {
+        return deliveryStartedAt != 0 && deliveryMicros >= MAX_DELIVERY_MICROS
+                && clock.getAsLong() - deliveryStartedAt < 2 * deliveryMicros;
+    }
+
     private void deliver() {
         deliveryScheduled = false;
         readAgainIfStale();
@@ -175,16 +194,29 @@
             releaseBuffers();  // the client has disconnected, which the receiver is told next
         }
         boolean delivered = false;
-        while (!paused && !buffers.isEmpty()) {
-            ByteBuf next = buffers.poll();
-            updateHeld();
+        long startedAt = clock.getAsLong();
+        if (!isTurnUsedUp()) {
+            deliveryStartedAt = startedAt;
+            deliveryMicros = 0;
+        }
+        long earlierMicros = deliveryMicros;
+        while (!paused && !buffers.isEmpty() && deliveryMicros < MAX_DELIVERY_MICROS) {
             delivered = true;
-            context.fireChannelRead(next);
+            context.fireChannelRead(pollPart());
+            deliveryMicros = earlierMicros + clock.getAsLong() - startedAt;
         }
         if (delivered) {
             context.fireChannelReadComplete();
             updateAutoRead();
         }
+        scheduleDelivery();
+    }
+
+    /** Removes the first buffer, or a part of it if it is long. */
+    private ByteBuf pollPart() {
+        ByteBuf part = buffers.poll(DELIVERY_BYTES);
+        updateHeld();
+        return part;
     }
 
     /** Reads again if the loop was delayed since the input was read: the client may have disconnected meanwhile. */
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -182,6 +182,10 @@
         }
     }
 
+    private static long heldRequestBytes(GatewayNode node) {
+        return node.loop.submit(() -> node.server.gateway().memory().requests.usedBytes()).syncUninterruptibly().getNow();
+    }
+
     /** Guards against requests that are sent to hosts for a client that has left: its disconnect lies behind more input
         than the gateway holds. */
     @ParameterizedTest
@@ -487,6 +491,7 @@
             Socket client = node.connect();
             write(client, post("start", 20_000, "x".repeat(120_000)));
             awaitCondition(() -> count(node, GatewayMetrics.Counter.HOST_DIALS) == 1);
+            awaitCondition(() -> heldRequestBytes(node) >= 32 << 10);  // reading is paused
             node.advanceClock(15_000);
             assertEquals(120_000, Loopback.read(fullHost.acceptConnections()).body().length);
             assertTrue(isIdleAfter(node, 7_000));
