Keep only the headers of a request that the gateway uses

340 clients with heads of 1,900 fields of two bytes used up the heap: 15 requests of five other clients had no answer within 2.5 s (peak 117 of 128 MB). A field takes some hundred bytes of the heap and all were kept with their request.

UsedHeaders keeps what is read or passed on, 64 lines at most; the rest is checked as before and left out.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
@@ -45,6 +46,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import mastdrift.Balancer.Idempotency;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Settings;
@@ -94,9 +96,17 @@
     private static final String TRACE_ID_HEADER = "X-Trace-Id";
     private static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
     private static final String EXPIRES_HEADER = HostConnectionPool.EXPIRES_HEADER;
+    private static final String CLASS_HEADER = "X-Qos";
+    private static final String TENANT_HEADER = "X-Customer";
+    private static final String OBJECT_HEADER = "X-Object";
+    private static final String SECOND_TRY_HEADER = "X-Second-Try";
+    private static final String SIZE_HINT_HEADER = "X-Size-Hint";
     // If one of these headers came twice, the gateway and a host might use different values.
     private static final List<String> SINGLE_VALUE_HEADERS = List.of(TRACE_ID_HEADER, IDEMPOTENCY_KEY_HEADER,
-            EXPIRES_HEADER, "X-Qos", "X-Customer", "X-Object");
+            EXPIRES_HEADER, CLASS_HEADER, TENANT_HEADER, OBJECT_HEADER);
+    /** The headers of the platform that requests are read for. */
+    static final List<String> REQUEST_HEADERS = Stream.concat(SINGLE_VALUE_HEADERS.stream(),
+            Stream.of(SECOND_TRY_HEADER, SIZE_HINT_HEADER)).toList();
 
     private final EventLoop loop;
     private final Gateway gateway;
@@ -330,6 +340,10 @@
         that the gateway can't decode. */
     private static final class RequestDecoder extends HttpRequestDecoder {
 
+        RequestDecoder() {
+            super(new HttpDecoderConfig().setHeadersFactory(UsedHeaders.FACTORY).setTrailersFactory(UsedHeaders.FACTORY));
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             TransferCoding.requireSupported(message);
@@ -654,8 +668,8 @@
         /** Validates a request and submits it to the gateway; {@code waited} is the time since it arrived. */
         private void submit(FullHttpRequest request, long waited) {
             HttpHeaders headers = request.headers();
-            RequestClass requestClass = requestClasses.get(headers.get("X-Qos", ""));
-            String tenant = headers.get("X-Customer");
+            RequestClass requestClass = requestClasses.get(headers.get(CLASS_HEADER, ""));
+            String tenant = headers.get(TENANT_HEADER);
             long expiresInMillis = parseNumber(headers.get(EXPIRES_HEADER));
             String trace = headers.get(TRACE_ID_HEADER, "");
             boolean keyed = requestClass != null && requestClass.idempotency() == Idempotency.KEYED;
@@ -679,9 +693,9 @@
                 traceId = trace;
                 long timeLeft = Math.min(expiresInMillis * 1000, requestClass.deadline()) - waited
                         - acceptQueueMicros();
-                long work = Math.max(0, parseNumber(headers.get("X-Size-Hint")));
+                long work = Math.max(0, parseNumber(headers.get(SIZE_HINT_HEADER)));
                 Gateway.Exchange accepted = gateway.submit(this, request, currentBody, requestClass.name(), tenant,
-                        hashKey(headers.get("X-Object")), timeLeft, "1".equals(headers.get("X-Second-Try")), work);
+                        hashKey(headers.get(OBJECT_HEADER)), timeLeft, "1".equals(headers.get(SECOND_TRY_HEADER)), work);
                 // Null if it was answered at once: the next request may have been submitted already.
                 if (accepted != null) {
                     exchange = accepted;
