Don't run an id again whose client has left, at either process of an upgrade

An unsafe request ran twice where its id came again after its client had left: the id was given free though the attempt went on at its host, and each process of an upgrade knew its own ids alone.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -116,6 +116,7 @@
     private final ConnectionLimit<ClientConnection> connections;
     private final MessageMemory memory;
     private final Set<String> openTraceIds = new HashSet<>();  // trace ids of requests without a response
+    private final RequestIds requestIds;  // those, and of requests that may still run though their client has left
     private TcpServerChannel serverChannel;
     private boolean sweepScheduled;
     private boolean accepting = true;  // false once a successor process accepts
@@ -126,11 +127,13 @@
     private Runnable onStopped;
 
     /** Serves about {@code maxConnections} connections at a time. */
-    DownstreamServer(EventLoop loop, Gateway gateway, Settings settings, int maxConnections, Lifecycle lifecycle) {
+    DownstreamServer(EventLoop loop, Gateway gateway, Settings settings, int maxConnections, Lifecycle lifecycle,
+            RequestIds requestIds) {
         this.loop = loop;
         this.gateway = gateway;
         this.lifecycle = lifecycle;
         memory = gateway.memory();
+        this.requestIds = requestIds;
         connections = new ConnectionLimit<>(loop, maxConnections, this::setAccepting,
                 () -> gateway.metrics().increment(GatewayMetrics.Counter.CLIENTS_PUSHED_OUT));
         settings.classes().forEach(type -> requestClasses.put(type.name(), type));
@@ -492,11 +495,11 @@
         public void channelInactive(ChannelHandlerContext context) {
             logUnanswered();
             connections.remove(this);
-            openTraceIds.remove(traceId);
             discardPending();
             if (exchange != null) {
                 exchange.clientLeft();
             }
+            giveIdFree(exchange != null && exchange.mayStillRun());
             currentEnded();
             if (currentBody != null) {
                 currentBody.abandon();
@@ -687,9 +690,10 @@
                 writeEmptyResponse(HttpResponseStatus.METHOD_NOT_ALLOWED, false);
             } else if (invalid) {
                 writeEmptyResponse(HttpResponseStatus.BAD_REQUEST, false);
-            } else if (!openTraceIds.add(trace)) {
+            } else if (openTraceIds.contains(trace) || !requestIds.claim(trace)) {
                 writeEmptyResponse(HttpResponseStatus.CONFLICT, false);  // responses with one id could be confused
             } else {
+                openTraceIds.add(trace);
                 traceId = trace;
                 long timeLeft = Math.min(expiresInMillis * 1000, requestClass.deadline()) - waited
                         - acceptQueueMicros();
@@ -834,8 +838,7 @@
         /** The response has been written, whether or not the whole request had arrived. */
         private void responseWritten(boolean keepAlive) {
             exchange = null;
-            openTraceIds.remove(traceId);
-            traceId = null;
+            giveIdFree(false);
             if (currentBody != null) {
                 currentBody.abandon();  // its body has been streamed, or is not needed
             }
@@ -849,6 +852,20 @@
             }
         }
 
+        /** The current request has ended for its client. If it may still run at a host, its id stays taken for a while. */
+        private void giveIdFree(boolean mayStillRun) {
+            if (traceId == null) {
+                return;
+            }
+            openTraceIds.remove(traceId);
+            if (mayStillRun) {
+                requestIds.retain(traceId);
+            } else {
+                requestIds.release(traceId);
+            }
+            traceId = null;
+        }
+
         private void currentEnded() {
             if (current != null) {
                 current.releaseMemory();
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -137,6 +137,11 @@
             return requestStreaming;
         }
 
+        /** Whether a host may have received the request, and run it even now. */
+        boolean mayStillRun() {
+            return attempts.stream().anyMatch(HostConnectionPool.Attempt::isWriteStarted);
+        }
+
         /** Whether the request ends with this attempt, if it has not ended before. */
         private boolean endsWith(int attempt) {
             return ended || responseStreaming && attempt == streamingAttempt;
@@ -507,7 +512,7 @@
     /** Answers a request whose client may have disconnected, unless an attempt is under way that may still answer it.
         Without an attempt it is refused, as nothing of it has run. */
     private void endUnverified(Exchange exchange) {
-        boolean attempted = exchange.attempts.stream().anyMatch(HostConnectionPool.Attempt::isWriteStarted);
+        boolean attempted = exchange.mayStillRun();
         if (attempted && exchange.unresolvedAttempts > 0) {
             return;
         }
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -9,7 +9,9 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.FileSystemException;
+import java.nio.file.InvalidPathException;
 import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -38,6 +40,8 @@
     private static final int CONFIG_READ_TRIES = 20;
     // At its end the process waits this long for a log output that takes no lines; the platform's SIGKILL comes later.
     private static final long LOG_FLUSH_TIMEOUT_MILLIS = 100;
+    // Names the folder that is the same for a process and its successor.
+    private static final String SHARED_FOLDER_VARIABLE = "TMPDIR";
     private static final String REHEARSE_ARGUMENT = "rehearse";
 
     /** Netty's logger, created on first use: creating it takes longer than a signal may stay without a handler. */
@@ -182,16 +186,30 @@
     static DownstreamServer createServer(Config config, EventLoop loop, LongSupplier nanoTime, Lifecycle lifecycle,
             GatewayMetrics metrics, Consumer<String> logOutput) {
         int maxConnections = maxConnections(config.maxSockets());
+        RequestIds requestIds = requestIds(config, () -> nanoTime.getAsLong() / 1000, logOutput);
         return CompletableFuture.supplyAsync(() -> {
             Gateway gateway = new Gateway(config, loop, nanoTime, new HeadroomBalancer(), metrics, maxConnections,
                     maxOpenRequests(maxConnections), logOutput);
             if (config.adminAddress() != null) {
                 gateway.startGaugeUpdates();
             }
-            return new DownstreamServer(loop, gateway, config.settings(), maxConnections, lifecycle);
+            return new DownstreamServer(loop, gateway, config.settings(), maxConnections, lifecycle, requestIds);
         }, loop).join();
     }
 
+    /** The ids of requests, which a process shares with its successor where it may have one: both are one gateway. */
+    private static RequestIds requestIds(Config config, LongSupplier steadyMicros, Consumer<String> logOutput) {
+        String folder = System.getenv(SHARED_FOLDER_VARIABLE);
+        if (config.socketInherited() && folder != null) {
+            try {
+                return RequestIds.shared(Path.of(folder), steadyMicros);
+            } catch (IOException | InvalidPathException e) {
+                logOutput.accept("request ids are not shared with another process: " + e);
+            }
+        }
+        return RequestIds.ofThisProcess(steadyMicros);
+    }
+
     /** Waits for the first list from discovery, but no longer than the timeout, since discovery may be down. */
     static void awaitFirstList(Gateway gateway, long timeoutMillis) {
         gateway.firstListReceived().completeOnTimeout(null, timeoutMillis, TimeUnit.MILLISECONDS).join();
--- a/src/main/java/mastdrift/net/WarmUp.java
+++ b/src/main/java/mastdrift/net/WarmUp.java
@@ -75,7 +75,8 @@
             Lifecycle lifecycle = new Lifecycle();
             DownstreamServer server = CompletableFuture.supplyAsync(() -> new DownstreamServer(loop, new Gateway(warmUpConfig,
                     loop, System::nanoTime, new HeadroomBalancer(), warmUpConfig.newMetrics(), HOST_COUNT * 2,
-                    HOST_COUNT, line -> { }), config.settings(), HOST_COUNT, lifecycle), loop).join();
+                    HOST_COUNT, line -> { }), config.settings(), HOST_COUNT, lifecycle,
+                    RequestIds.ofThisProcess(() -> System.nanoTime() / 1000)), loop).join();
             server.listen(anyPort).sync();
             lifecycle.markStarted(() -> { });
             sendAll(server.address(), config, longBodies);
