--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -67,7 +67,7 @@
 
         @Override
         public long connectedAsOf() {
-            return System.nanoTime() / 1000;
+            return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());  // as the gateway counts from its start
         }
 
         @Override
