--- a/src/test/java/mastdrift/net/GatewayProcess.java
+++ b/src/test/java/mastdrift/net/GatewayProcess.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -20,39 +21,40 @@
 final class GatewayProcess implements AutoCloseable {
 
     private static final int START_TRIES = 300;
+    private static final int RETRY_MILLIS = 50;
     private static final Pattern OPTION = Pattern.compile(" (-X[^ ]+|-D(?!java\\.io\\.tmpdir)[^ ]+)");
 
     private final int port;
+    private final int adminPort;
     private final Path log;
-    private final Process process;
+    private final ProcessHandle process;
 
     /** Starts a gateway and waits until it is ready; {@code folder} takes its configuration and its log. */
-    GatewayProcess(Path folder, String name, Loopback.Server discovery, String knownList, String settings, int sockets,
-            ProcessBuilder.Redirect input, int listenPort) throws Exception {
-        port = listenPort;
+    GatewayProcess(Path folder, Loopback.Server discovery, String knownList, String settings, int sockets)
+            throws Exception {
+        this(folder, "gateway", null, discovery, knownList, settings, sockets);
+    }
+
+    /** Starts a gateway of that name behind a listening socket that it inherits, or one that listens itself if
+        {@code socket} is null, and waits until it is ready. */
+    GatewayProcess(Path folder, String name, PassedSocket socket, Loopback.Server discovery, String knownList,
+            String settings, int sockets) throws Exception {
+        port = socket == null ? freePort() : socket.port();
+        adminPort = freePort();
         log = folder.resolve(name + ".log");
         Path config = folder.resolve(name + ".json");
         Files.writeString(config, "{\"name\":\"" + name + "\",\"seed\":\"8c1f30d27a5be964\",\"listen\":\"127.0.0.1:" + port
-                + "\",\"discovery\":\"" + discovery.address() + "\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
-                + knownList + ",\"settings\":" + settings + "}");
-        List<String> command = new ArrayList<>();
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(deployOptions());
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "mastdrift.net.Main"));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile())
-                .redirectInput(input);
-        builder.environment().keySet().removeIf(variable -> variable.startsWith("NODE_"));
-        builder.environment().put("NODE_CONFIG", config.toString());
-        process = builder.start();
+                + "\",\"admin\":\"127.0.0.1:" + adminPort + "\",\"discovery\":\"" + discovery.address()
+                + "\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + knownList + ",\"settings\":" + settings + "}");
+        String command = "exec env NODE_CONFIG=" + config + " TMPDIR=" + folder
+                + (socket == null ? "" : " NODE_PASSED_SOCKET=0") + " " + Path.of(System.getProperty("java.home"), "bin", "java")
+                + " " + String.join(" ", deployOptions()) + " -cp " + System.getProperty("java.class.path")
+                + " mastdrift.net.Main > " + log + " 2>&1";
+        process = socket == null ? new ProcessBuilder("/bin/sh", "-c", command)
+                .redirectInput(new File("/dev/null")).start().toHandle() : socket.start(command);
         awaitReady();
     }
 
-    GatewayProcess(Path folder, Loopback.Server discovery, String knownList, String settings, int sockets)
-            throws Exception {
-        this(folder, "gateway", discovery, knownList, settings, sockets, ProcessBuilder.Redirect.from(new File("/dev/null")),
-                freePort());
-    }
-
     static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
@@ -77,20 +79,25 @@
             if (!process.isAlive()) {
                 throw new IllegalStateException("the gateway ended at its start: " + log());
             }
-            try (Socket socket = connect(1000)) {
-                Loopback.write(socket, "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+            try (Socket socket = connect(adminPort, 1000)) {
+                Loopback.write(socket, "GET /status HTTP/1.1\r\nHost: s\r\n\r\n");
                 Loopback.Message answer = Loopback.read(socket);
                 if (answer != null && answer.status() == 200) {
                     return;
                 }
             } catch (IOException notYet) {
-                TimeUnit.MILLISECONDS.sleep(50);
+                TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
             }
         }
         throw new IllegalStateException("the gateway is not ready: " + log());
     }
 
+    /** Connects as a client. */
     Socket connect(int timeoutMillis) throws IOException {
+        return connect(port, timeoutMillis);
+    }
+
+    private static Socket connect(int port, int timeoutMillis) throws IOException {
         Socket socket = new Socket();
         try {
             socket.setTcpNoDelay(true);
@@ -121,10 +128,25 @@
         throw new IOException("no VmHWM");
     }
 
+    /** Sends SIGTERM, and SIGKILL that much later if the process still runs. Returns once it has ended. */
+    void terminate(long killAfterMillis) throws Exception {
+        process.destroy();
+        try {
+            process.onExit().get(killAfterMillis, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException stillRunning) {
+            close();
+        }
+    }
+
+    /** Sends a signal by its name. */
+    void signal(String name) throws Exception {
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+    }
+
     @Override
     public void close() throws Exception {
         process.destroyForcibly();
-        process.waitFor(Loopback.WAIT_SECONDS, TimeUnit.SECONDS);
+        process.onExit().get(Loopback.WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
     /** Discards what comes until the connection ends. */
