Know since when a client may have left, also where reading had paused

Callers: a client closed its connection while its long request was not read, as its host took none of it; when reading went on, the next request on the connection was sent to a host, 1.4 s after the close.

Cause: a client counted as connected as of the read behind the pause, so that no check came ahead of the attempt. Evidence: of the same forms, those break whose pause began with an empty socket (pieces of 1 and 4 kB), and none without a pause.

SendTimeEstimator keeps the last time at which all that had arrived was read: a pause in reading starts it, and a read in the same turn in which reading goes on ends it.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -64,6 +64,8 @@
     // The system would grow the send buffer to megabytes and report it writable only once a third of it is free: a
     // client that reads 64 kB a second would seem to read nothing for longer than the write timeout.
     private static final int SEND_BUFFER_BYTES = 128 << 10;
+    /** The system would grow it to megabytes, in which requests wait unseen. */
+    static final int RECEIVE_BUFFER_BYTES = 128 << 10;
     // Requests of one connection that are open or wait hold so much, and one more; further input waits undecoded.
     private static final long MAX_DECODED_BYTES = 32 << 10;
     // What a request's head, its objects and its place in the queue take at least.
@@ -198,6 +200,7 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
+                .childOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadAheadHandler.receiveBufferAllocator())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -47,8 +47,8 @@
     private long deliveryStartedAt;  // the first delivery of the current turn or a moment before, 0 if there is none
     private long deliveryMicros;  // what deliveries have taken since then
     private long lastReadAt;  // the last time that input arrived
-    private long undrainedSince;  // since then no read has found the socket empty, 0 if the last one has
-    private long drainedAt;  // the last time that a read found the socket empty
+    private final SendTimeEstimator sendTimes = new SendTimeEstimator();
+    private boolean readScheduled;
 
     /** The allocator for the channels of such connections: a turn of the loop reads until there is no more input, and
         so finds a disconnect that follows it. Both may have arrived if the loop was late. */
@@ -75,10 +75,7 @@
     /** The last time at which the client was known to be connected: while input is left in the socket, a disconnect may
         lie behind it. */
     long connectedAsOf() {
-        if (undrainedSince != 0) {
-            return undrainedSince;
-        }
-        return context.channel().config().isAutoRead() ? clock.getAsLong() : drainedAt;
+        return sendTimes.drainedAsOf(clock.getAsLong());
     }
 
     /** Reads until no input is left, or all that may be held is. False if more is left, so that a disconnect may lie
@@ -130,7 +127,7 @@
         selectorNotified |= !(from.channel() instanceof TcpChannel connection && connection.isReadingUnprompted());
         readsThisTurn++;
         lastReadAt = clock.getAsLong();
-        undrainedSince = undrainedSince == 0 ? lastReadAt : undrainedSince;
+        sendTimes.read(((ByteBuf) message).readableBytes(), lastReadAt);
         buffers.addWhole((ByteBuf) message);
         updateHeld();
         updateAutoRead();
@@ -141,8 +138,7 @@
         boolean mayBeMore = readsThisTurn >= MAX_TURN_READS;
         readsThisTurn = 0;
         if (!(from.channel() instanceof TcpChannel connection) || connection.isInputDrained()) {
-            undrainedSince = 0;
-            drainedAt = clock.getAsLong();
+            sendTimes.drained(from.channel().config().isAutoRead(), clock.getAsLong());
         }
         if (mayBeMore && !paused && !deliveryScheduled && buffers.heldBytes() < MAX_TURN_BYTES) {
             // The read limit was reached by small pieces: the next turn continues, and its input is delivered with
@@ -215,6 +211,7 @@
     /** Removes the first buffer, or a part of it if it is long. */
     private ByteBuf pollPart() {
         ByteBuf part = buffers.poll(DELIVERY_BYTES);
+        sendTimes.delivered(part.readableBytes());
         updateHeld();
         return part;
     }
@@ -233,10 +230,29 @@
         boolean hasRoom = !paused ? buffers.heldBytes() < MAX_TURN_BYTES
                 : hasRoomToReadAhead() && disconnectRelevant.getAsBoolean();
         boolean autoRead = !rearmingSelector && (discarding || hasRoom);
-        if (autoRead != context.channel().config().isAutoRead()) {
-            selectorNotified = false;
-            context.channel().config().setAutoRead(autoRead);
+        if (autoRead == context.channel().config().isAutoRead()) {
+            return;
         }
+        selectorNotified = false;
+        context.channel().config().setAutoRead(autoRead);
+        if (autoRead) {
+            scheduleRead();
+        } else {
+            sendTimes.readingStopped(clock.getAsLong());
+        }
+    }
+
+    /** Reads in this turn of the loop, since the selector reports nothing for a socket that is empty: only a read tells
+        that nothing came while reading was off. */
+    private void scheduleRead() {
+        if (readScheduled || !(context.channel() instanceof TcpChannel connection)) {
+            return;
+        }
+        readScheduled = true;
+        connection.eventLoop().execute(() -> {
+            readScheduled = false;
+            connection.readNow();
+        });
     }
 
     /** To be called periodically: reads if the selector has reported nothing since reading began, and makes it watch
