Don't run an id again that was answered to a client that has left

Callers: an unsafe request ran twice. Its client left without reading the answer, or closed behind input that was not read, and its id came again, at the same process or at the other one of an upgrade.

Cause: an id was given free once its answer was written, but nothing tells whether a client has read it. Evidence: the id ran again behind each kind of end (close, reset), with 0 to 5 MB behind, and in the same way at both processes, so it is not the sharing of the table.

RequestIdClaims owns the ids of a process. An id that a host may have received stays taken for 30 s, answered or not; it is free to a client whose connection with the answer is still there, which is read before. Ids that were only refused are free at once. A repeated id is logged (event=id_taken) and counted.

LogOutputTest and GatewayLifecycleTest sent one id again and again, each time on a connection that had ended; a client's id is new with every request, so theirs is now too. What they assert is unchanged.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -117,8 +117,7 @@
     private final Set<String> tenants = new HashSet<>();
     private final ConnectionLimit<ClientConnection> connections;
     private final MessageMemory memory;
-    private final Set<String> openTraceIds = new HashSet<>();  // trace ids of requests without a response
-    private final RequestIds requestIds;  // those, and of requests that may still run though their client has left
+    private final RequestIdClaims requestIds;
     private TcpServerChannel serverChannel;
     private boolean sweepScheduled;
     private boolean accepting = true;  // false once a successor process accepts
@@ -135,7 +134,7 @@
         this.gateway = gateway;
         this.lifecycle = lifecycle;
         memory = gateway.memory();
-        this.requestIds = requestIds;
+        this.requestIds = new RequestIdClaims(requestIds);
         connections = new ConnectionLimit<>(loop, maxConnections, this::setAccepting,
                 () -> gateway.metrics().increment(GatewayMetrics.Counter.CLIENTS_PUSHED_OUT));
         settings.classes().forEach(type -> requestClasses.put(type.name(), type));
@@ -382,6 +381,8 @@
         private BodyRelay incomingBody;  // of the request that is being read, the current one or a later one
         private BodyRelay outgoingBody;  // of the response that is being written
         private boolean continueExpected;  // the client waits for a 100 response before it sends the body
+        private final RequestIdClaims.AnsweredConnection answeredConnection =
+                new RequestIdClaims.AnsweredConnection(this);
         private Gateway.Exchange exchange;
         private String traceId;  // of the current request once it is submitted
         private boolean requestRead;  // since the last channelReadComplete
@@ -499,10 +500,7 @@
             logUnanswered();
             connections.remove(this);
             discardPending();
-            if (exchange != null) {
-                exchange.clientLeft();
-            }
-            giveIdFree(exchange != null && exchange.mayStillRun());
+            endUnanswered();
             currentEnded();
             if (currentBody != null) {
                 currentBody.abandon();
@@ -693,10 +691,11 @@
                 writeEmptyResponse(HttpResponseStatus.METHOD_NOT_ALLOWED, false);
             } else if (invalid) {
                 writeEmptyResponse(HttpResponseStatus.BAD_REQUEST, false);
-            } else if (openTraceIds.contains(trace) || !requestIds.claim(trace)) {
+            } else if (!requestIds.claim(trace)) {
+                gateway.metrics().increment(GatewayMetrics.Counter.IDS_TAKEN);
+                gateway.eventLog().add(EventLog.Event.ID_TAKEN, "trace", trace, "class", requestClass.name());
                 writeEmptyResponse(HttpResponseStatus.CONFLICT, false);  // responses with one id could be confused
             } else {
-                openTraceIds.add(trace);
                 traceId = trace;
                 long timeLeft = Math.min(expiresInMillis * 1000, requestClass.deadline()) - waited
                         - acceptQueueMicros();
@@ -840,8 +839,13 @@
 
         /** The response has been written, whether or not the whole request had arrived. */
         private void responseWritten(boolean keepAlive) {
+            if (traceId != null && exchange != null && exchange.mayStillRun()) {
+                requestIds.retainAnswered(traceId, answeredConnection);
+            } else if (traceId != null) {
+                requestIds.release(traceId);
+            }
+            traceId = null;
             exchange = null;
-            giveIdFree(false);
             if (currentBody != null) {
                 currentBody.abandon();  // its body has been streamed, or is not needed
             }
@@ -855,15 +859,15 @@
             }
         }
 
-        /** The current request has ended for its client. If it may still run at a host, its id stays taken for a while. */
-        private void giveIdFree(boolean mayStillRun) {
-            if (traceId == null) {
-                return;
+        /** The client has left before the current request was answered. */
+        private void endUnanswered() {
+            answeredConnection.ended();
+            if (exchange != null) {
+                exchange.clientLeft();
             }
-            openTraceIds.remove(traceId);
-            if (mayStillRun) {
+            if (traceId != null && exchange != null && exchange.mayStillRun()) {
                 requestIds.retain(traceId);
-            } else {
+            } else if (traceId != null) {
                 requestIds.release(traceId);
             }
             traceId = null;
--- a/src/main/java/mastdrift/net/EventLog.java
+++ b/src/main/java/mastdrift/net/EventLog.java
@@ -29,6 +29,8 @@
         REQUEST_REFUSED,
         /** A request failed, and its client got an error response. */
         REQUEST_FAILED,
+        /** A request came with an id that is taken. */
+        ID_TAKEN,
         /** A client connection ended while a request on it was unanswered. */
         CLIENT_GONE,
         /** The system lacked the memory for a write, which is retried. */
--- a/src/main/java/mastdrift/net/GatewayMetrics.java
+++ b/src/main/java/mastdrift/net/GatewayMetrics.java
@@ -16,19 +16,20 @@
 final class GatewayMetrics {
 
     /** Counters, in their order in the log line; the log and the metrics have their lower-cased names. TAKEN counts the
-        requests that were submitted, REFUSED_FOR_MEMORY those for whose body no memory became free, CLIENTS_UNVERIFIED those
-        ended since their client had sent more than may be held and may have left behind it. REFUSED_AT_BOUND and OVERDUE are also counted as requests refused and failed;
-        DEPARTED, requests whose client disconnected, as neither. CLIENTS_CAME counts client connections,
-        CLIENTS_PUSHED_OUT those closed to make room for others, and UNANSWERED those that the gateway closed itself
-        while a request on them was open. HOST_DIALS counts attempts to connect to hosts, HOST_NO_ROOM attempts of
-        requests for which the connection pool had no room. RESPONSES_STALLED counts hosts' responses that paused for
-        long before any of them was passed on, RESPONSES_CUT_OFF those that were given up after their start had been.
-        LOOP_LATE_* splits LOOP_LATE by cause. OFF_LOOP counts callbacks on a wrong thread. LOG_LINES_DROPPED counts
-        lines that the output did not accept in time. */
-    enum Counter { TAKEN, REFUSED_AT_BOUND, REFUSED_FOR_MEMORY, CLIENTS_UNVERIFIED, OVERDUE, DEPARTED, CLIENTS_CAME,
-        CLIENTS_PUSHED_OUT, UNANSWERED, ACCEPTS_FAILED, HOST_DIALS, HOST_DIALS_FAILED, HOST_NO_ROOM, ATTEMPTS_WRITTEN, RESPONSES_STALLED,
-        RESPONSES_CUT_OFF, WRITES_DEFERRED, LOOP_LATE, LOOP_LATE_STARVED, LOOP_LATE_BUSY, LOOP_LATE_BLOCKED, OFF_LOOP,
-        RELOADS_OK, RELOADS_FAILED, LOG_LINES_DROPPED }
+        requests that were submitted, REFUSED_FOR_MEMORY those for whose body no memory became free, CLIENTS_UNVERIFIED
+        those ended since their client had sent more than may be held and may have left behind it, and IDS_TAKEN those
+        whose id is taken. REFUSED_AT_BOUND and OVERDUE are also counted as requests refused and failed; DEPARTED,
+        requests whose client disconnected, as neither. CLIENTS_CAME counts client connections, CLIENTS_PUSHED_OUT those
+        closed to make room for others, and UNANSWERED those that the gateway closed itself while a request on them was
+        open. HOST_DIALS counts attempts to connect to hosts, HOST_NO_ROOM attempts of requests for which the connection
+        pool had no room. RESPONSES_STALLED counts hosts' responses that paused for long before any of them was passed
+        on, RESPONSES_CUT_OFF those that were given up after their start had been. LOOP_LATE_* splits LOOP_LATE by cause.
+        OFF_LOOP counts callbacks on a wrong thread. LOG_LINES_DROPPED counts lines that the output did not accept in
+        time. */
+    enum Counter { TAKEN, REFUSED_AT_BOUND, REFUSED_FOR_MEMORY, CLIENTS_UNVERIFIED, IDS_TAKEN, OVERDUE, DEPARTED,
+        CLIENTS_CAME, CLIENTS_PUSHED_OUT, UNANSWERED, ACCEPTS_FAILED, HOST_DIALS, HOST_DIALS_FAILED, HOST_NO_ROOM,
+        ATTEMPTS_WRITTEN, RESPONSES_STALLED, RESPONSES_CUT_OFF, WRITES_DEFERRED, LOOP_LATE, LOOP_LATE_STARVED,
+        LOOP_LATE_BUSY, LOOP_LATE_BLOCKED, OFF_LOOP, RELOADS_OK, RELOADS_FAILED, LOG_LINES_DROPPED }
 
     /** How a request ended whose client was still connected. */
     enum RequestOutcome { SERVED, REFUSED, FAILED }
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A gateway in the test's process, with its clients, hosts and discovery as plain loopback sockets that a test reads
@@ -31,6 +32,8 @@
 
     static final int WAIT_SECONDS = 30;  // timeout for events that have to occur, far above any real delay
 
+    private static final AtomicInteger ids = new AtomicInteger();
+
     private Loopback() { }
 
     /** An HTTP message as received: its start line and headers, and its body. */
@@ -369,6 +372,11 @@
         }
     }
 
+    /** The request with an id of its own, as each request of a client has. */
+    static String withNewId(String request) {
+        return request.replace("9b1f", "id" + ids.incrementAndGet());
+    }
+
     /** A GET request of the class {@code read} with that time limit. */
     static String read(int millis) {
         return "GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: 9b1f\r\nX-Qos: read\r\nX-Customer: acme\r\n"
