Count a request's time from when its last byte may have been sent

Callers: where a host read a long request slowly, the final answer came 2 to 10 s after its time; of many requests sent at once on a connection the later ones were answered up to 4 s late.

Cause: the time of a request ran from the moment when the gateway read its end, while the end lay in the system's buffers, or behind other requests, since reading had paused. Evidence: the lateness in the report is the same 166 kB at each host's rate, and the gateway's own late_us is under a millisecond.

- A request that is passed on whole counts from the earliest time at which its last byte may have been sent (SendTimeEstimator).
- A long body is read ahead, up to 1 MiB while half of a pool of 6 MiB is free, so that its end is seen when it is sent.
Where that is not possible, the request is answered as if its end had been sent when the socket was last seen empty, and at most 0.25 s later than that: late, not lost.
A byte that no buffer of the system could hold by then has not been sent: bodies far longer than these go on.
- SIGTERM's deadline holds for requests whose body is being passed on, too.

DownstreamServer keeps a connection's requests in one place each; MessageMemory.isUnused, which nothing called, is gone.

--- a/src/main/java/mastdrift/net/BodyRelay.java
+++ b/src/main/java/mastdrift/net/BodyRelay.java
@@ -7,17 +7,21 @@
 import java.util.function.Consumer;
 
 /** Passes the rest of a body from the connection that reads it to the one that writes it, in bounded memory: reading
-    pauses while the relay is full, and writing while the target channel is not writable. What one turn of the event
-    loop has read is written together, so that the pieces in which a body comes cost no system call each. Used on one
-    event loop's thread. */
+    pauses while the relay is full, and writing while the target channel is not writable. The relay of a request holds
+    more while memory is ample: the end of the body, from which the time for its response runs, is seen only once it is
+    read. What one turn of the event loop has read is written together, so that the pieces in which a body comes cost no
+    system call each. Used on one event loop's thread. */
 final class BodyRelay {
 
-    // A single read may exceed it.
-    private static final int MAX_BUFFERED_BYTES = 32 << 10;
+    /** The limit of a response's relay, and of each while memory is not ample. A single read may exceed it. */
+    static final int MAX_BUFFERED_BYTES = 32 << 10;
+    /** The limit of a request's relay. */
+    static final int MAX_UPLOAD_BYTES = 1 << 20;
     // The limit while the pool is exhausted, so that each body still goes on.
     private static final int RESERVED_BYTES = 4 << 10;
 
     private final MemoryPool pool;
+    private final int maxBytes;
     private final ByteQueue buffered = new ByteQueue();
     private boolean full;
     private long countedBytes;  // what the pool counts for this relay
@@ -30,17 +34,29 @@
     private Channel target;
     private Consumer<Boolean> onWritten;
 
-    /** What the relay holds is counted in the pool. */
+    /** A relay with the limit of responses. */
     BodyRelay(MemoryPool pool) {
+        this(pool, MAX_BUFFERED_BYTES);
+    }
+
+    /** What the relay holds is counted in the pool, and is about {@code maxBytes} at the most. */
+    BodyRelay(MemoryPool pool, int maxBytes) {
         this.pool = pool;
+        this.maxBytes = maxBytes;
     }
 
     private void updateHeld() {
         long held = buffered.heldBytes();
         pool.add(held - countedBytes);
         countedBytes = held;
-        int bytes = buffered.readableBytes();
-        full = bytes >= MAX_BUFFERED_BYTES || bytes >= RESERVED_BYTES && pool.isExhausted();
+        full = buffered.readableBytes() >= limit();
+    }
+
+    private int limit() {
+        if (pool.isExhausted()) {
+            return RESERVED_BYTES;
+        }
+        return pool.isAmple() ? maxBytes : Math.min(maxBytes, MAX_BUFFERED_BYTES);
     }
 
     // ---- the reading side
--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -315,14 +315,20 @@
         CLIENT, REQUEST_TOO_SLOW, REQUEST_BROKEN, ANSWER_BROKEN, ANSWER_NOT_TAKEN, MADE_ROOM, FAULT
     }
 
-    /** A request that waits for its turn on its connection; {@code bodyRelay} is null if it is complete. */
-    private record PendingRequest(FullHttpRequest request, BodyRelay bodyRelay, MemoryPool.Reservation memory,
-            long heldBytes, long receivedAt) {
+    /** A request that is being handled, or waits for its turn on its connection. */
+    private static final class PendingRequest {
 
-        /** {@code heldBytes} is the memory that it holds, overhead included. */
-        private PendingRequest(MessageAggregator.AggregatedMessage message, long receivedAt) {
-            this((FullHttpRequest) message.message(), message.bodyRelay(), message.memory(),
-                    REQUEST_OVERHEAD_BYTES + message.message().content().capacity(), receivedAt);
+        private final FullHttpRequest request;
+        private final BodyRelay bodyRelay;  // null if the request was complete when it was passed on
+        private final MemoryPool.Reservation memory;
+        private final long heldBytes;  // overhead included
+        private long sentAt;  // the earliest time at which its last byte may have been sent, 0 until that has arrived
+
+        private PendingRequest(MessageAggregator.AggregatedMessage message) {
+            request = (FullHttpRequest) message.message();
+            bodyRelay = message.bodyRelay();
+            memory = message.memory();
+            heldBytes = REQUEST_OVERHEAD_BYTES + request.content().capacity();
         }
 
         private void releaseMemory() {
@@ -369,16 +375,14 @@
         private final ReadAheadHandler readAhead = new ReadAheadHandler(memory.readAhead,
                 this::isDisconnectRelevant, gateway::now);
         private final RequestDecoder decoder = new RequestDecoder();
-        private final MessageAggregator aggregator = new MessageAggregator(memory.requests, true);
+        private final MessageAggregator aggregator = MessageAggregator.ofRequests(memory);
         private final RequestReadTimer readTimer = new RequestReadTimer();
         private final Queue<PendingRequest> pendingRequests = new ArrayDeque<>();
         private PendingRequest current;  // null if none is being handled
         private long decodedBytes;  // what the current and the pending requests hold
         private boolean awaitingMemory;  // for the request that is being read
         private Future<?> memoryTimer;
-        private FullHttpRequest currentRequest;
-        private BodyRelay currentBody;  // null if the current request was complete when it was passed on
-        private BodyRelay incomingBody;  // of the request that is being read, the current one or a later one
+        private PendingRequest incoming;  // the one whose long body is being read, the current one or a later one
         private BodyRelay outgoingBody;  // of the response that is being written
         private boolean continueExpected;  // the client waits for a 100 response before it sends the body
         private final RequestIdClaims.AnsweredConnection answeredConnection =
@@ -399,7 +403,7 @@
         /** Pauses reading while enough requests are held, the relay of the incoming body is full, or the request that is
             being read waits for memory. */
         private void updateReadPause() {
-            boolean hasRoom = incomingBody != null ? !incomingBody.isFull()
+            boolean hasRoom = incoming != null ? !incoming.bodyRelay.isFull()
                     : pendingRequests.size() <= MAX_PIPELINED_REQUESTS && decodedBytes < MAX_DECODED_BYTES;
             boolean mayRead = hasRoom && !awaitingMemory;
             if (readTimer.setPaused(!mayRead, gateway.now())) {
@@ -410,7 +414,7 @@
         /** Whether a disconnect of the client could still prevent something from being sent to a host. That is not so
             only while the current request's body is read and streamed to a host: no later request can have arrived. */
         private boolean isDisconnectRelevant() {
-            return exchange == null || !exchange.isRequestStreaming() || incomingBody != currentBody;
+            return exchange == null || !exchange.isRequestStreaming() || incoming != current;
         }
 
         @Override
@@ -446,9 +450,9 @@
             }
             readAhead.updateAutoRead();
             readAhead.readUnlessNotified();
-            if (!isSendingRequest() && currentRequest == null && now - idleSince > idleTimeout) {
+            if (!isSendingRequest() && current == null && now - idleSince > idleTimeout) {
                 closeGracefully();
-            } else if (readTimer.isRunning() && (currentRequest == null || incomingBody != null)
+            } else if (readTimer.isRunning() && (current == null || incoming != null)
                     && readTimer.isExpired(now, hasSentRequest ? 0 : idleSince, aggregator.bytes())) {
                 close(CloseReason.REQUEST_TOO_SLOW);  // an incomplete request needs no response
             }
@@ -501,9 +505,9 @@
             connections.remove(this);
             discardPending();
             endUnanswered();
-            currentEnded();
-            if (currentBody != null) {
-                currentBody.abandon();
+            if (current != null) {
+                current.releaseMemory();
+                abandonBody(current);
             }
             if (outgoingBody != null) {
                 outgoingBody.abandon();
@@ -514,24 +518,26 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, MessageAggregator.AggregatedMessage part) {
             if (outputShutDown) {  // decoded from the same read as the request that ended the connection
-                new PendingRequest(part, 0).discard();
+                new PendingRequest(part).discard();
                 return;
             }
             requestRead = true;
             connections.requestReceived(this);
-            incomingBody = part.bodyRelay();
-            if (incomingBody == null) {
+            PendingRequest read = new PendingRequest(part);
+            if (read.bodyRelay == null) {
+                incoming = null;
                 continueExpected = false;
                 readTimer.stop();
+                read.sentAt = readAhead.deliveredSentAt();
             } else {
+                incoming = read;
                 readTimer.start(gateway.now());
-                incomingBody.onFullChange(this::updateReadPause);
+                read.bodyRelay.onFullChange(this::updateReadPause);
             }
-            PendingRequest read = new PendingRequest(part, gateway.now());
             pendingRequests.add(read);
             decodedBytes += read.heldBytes;
             updateReadPause();
-            if (currentRequest == null) {
+            if (current == null) {
                 startNextRequest();
             }
         }
@@ -540,9 +546,9 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             readTimer.dataReceived(gateway.now());
-            if (incomingBody != null && incomingBody.isFinished()) {
-                boolean complete = incomingBody.isComplete();
-                incomingBody = null;
+            if (incoming != null && incoming.bodyRelay.isFinished()) {
+                boolean complete = incoming.bodyRelay.isComplete();
+                incoming = null;
                 readTimer.stop();
                 updateReadPause();
                 if (!complete) {
@@ -555,13 +561,17 @@
             requestRead = false;
         }
 
-        /** Notes deferred writes, and clients that expect a 100 response before they send a body. */
+        /** Notes deferred writes, the ends of long bodies, and clients that expect a 100 response before they send a
+            body. */
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
             if (event == TcpChannel.WriteDeferred.INSTANCE) {
                 gateway.metrics().increment(GatewayMetrics.Counter.WRITES_DEFERRED);
                 gateway.eventLog().add(EventLog.Event.WRITE_DEFERRED, "trace", traceId);
             }
+            if (event == MessageAggregator.Event.BODY_RECEIVED && incoming != null) {
+                incoming.sentAt = readAhead.deliveredSentAt();
+            }
             if (event == MessageAggregator.Event.CONTINUE_EXPECTED) {
                 continueExpected = true;
                 sendContinueIfDue();
@@ -592,7 +602,7 @@
 
         /** Sends a 100 response once it is the turn of the request that expects it. */
         private void sendContinueIfDue() {
-            if (continueExpected && (currentRequest == null || currentBody == incomingBody && incomingBody != null)) {
+            if (continueExpected && (current == null || current == incoming)) {
                 continueExpected = false;
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
                         Unpooled.EMPTY_BUFFER));
@@ -621,8 +631,6 @@
             }
             connections.requestReceived(this);
             current = next;
-            currentRequest = next.request;
-            currentBody = next.bodyRelay;
             sendContinueIfDue();
             try {
                 handleRequest(next);
@@ -643,7 +651,7 @@
                 writeEmptyResponse(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
                         : lifecycle.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, false);
             } else if (path.equals("/api") || path.startsWith("/api/")) {
-                submit(request, gateway.now() - pending.receivedAt);
+                submit(request, pending.bodyRelay != null ? 0 : gateway.now() - pending.sentAt);
             } else {
                 writeEmptyResponse(HttpResponseStatus.NOT_FOUND, false);
             }
@@ -669,7 +677,8 @@
             return path < 0 ? "/" : uri.substring(path);
         }
 
-        /** Validates a request and submits it to the gateway; {@code waited} is the time since it arrived. */
+        /** Validates a request and submits it to the gateway; {@code waited} is the time for which its client may have
+            waited, 0 for a long one, whose time runs from its last byte. */
         private void submit(FullHttpRequest request, long waited) {
             HttpHeaders headers = request.headers();
             RequestClass requestClass = requestClasses.get(headers.get(CLASS_HEADER, ""));
@@ -682,7 +691,7 @@
                     || !isForwardable(trace) || !isForwardable(request.uri())
                     || !isForwardable(headers.get(IDEMPOTENCY_KEY_HEADER, keyed ? "" : "-"))
                     || SINGLE_VALUE_HEADERS.stream().anyMatch(name -> headers.getAll(name).size() > 1);
-            if (request.method().equals(HttpMethod.GET) && (request.content().isReadable() || currentBody != null)) {
+            if (request.method().equals(HttpMethod.GET) && (request.content().isReadable() || current.bodyRelay != null)) {
                 // A host that ignores the body would read it as a request.
                 writeEmptyResponse(HttpResponseStatus.BAD_REQUEST, true);
             } else if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)
@@ -691,7 +700,7 @@
                 writeEmptyResponse(HttpResponseStatus.METHOD_NOT_ALLOWED, false);
             } else if (invalid) {
                 writeEmptyResponse(HttpResponseStatus.BAD_REQUEST, false);
-            } else if (!requestIds.claim(trace)) {
+            } else if (!requestIds.claim(trace, answeredConnection)) {
                 gateway.metrics().increment(GatewayMetrics.Counter.IDS_TAKEN);
                 gateway.eventLog().add(EventLog.Event.ID_TAKEN, "trace", trace, "class", requestClass.name());
                 writeEmptyResponse(HttpResponseStatus.CONFLICT, false);  // responses with one id could be confused
@@ -700,7 +709,7 @@
                 long timeLeft = Math.min(expiresInMillis * 1000, requestClass.deadline()) - waited
                         - acceptQueueMicros();
                 long work = Math.max(0, parseNumber(headers.get(SIZE_HINT_HEADER)));
-                Gateway.Exchange accepted = gateway.submit(this, request, currentBody, requestClass.name(), tenant,
+                Gateway.Exchange accepted = gateway.submit(this, request, current.bodyRelay, requestClass.name(), tenant,
                         hashKey(headers.get(OBJECT_HEADER)), timeLeft, "1".equals(headers.get(SECOND_TRY_HEADER)), work);
                 // Null if it was answered at once: the next request may have been submitted already.
                 if (accepted != null) {
@@ -757,6 +766,14 @@
             return readAhead.connectedAsOf();
         }
 
+        @Override
+        public long requestSentAt() {
+            if (current.sentAt != 0) {
+                return current.sentAt;
+            }
+            return current == incoming ? readAhead.sendTimeOf(aggregator.remainingBytes()) : gateway.now();
+        }
+
         @Override
         public void sendResponse(FullHttpResponse response) {
             ByteBuf body = response.content().retain();
@@ -773,7 +790,7 @@
             HttpResponse clientResponse = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             EntityHeaders.copy(response, clientResponse);
             boolean lengthKnown = HttpUtil.isContentLengthSet(response);
-            boolean chunked = !lengthKnown && currentRequest.protocolVersion().equals(HttpVersion.HTTP_1_1);
+            boolean chunked = !lengthKnown && current.request.protocolVersion().equals(HttpVersion.HTTP_1_1);
             if (lengthKnown) {
                 HttpUtil.setContentLength(clientResponse, HttpUtil.getContentLength(response));
             }
@@ -821,8 +838,8 @@
         /** Whether the connection stays open after the response to the current request. */
         private boolean shouldKeepAlive() {
             boolean mayContinue = !closeAfterResponse || !pendingRequests.isEmpty() || hasUnprocessedInput();
-            return mayContinue && HttpUtil.isKeepAlive(currentRequest)
-                    && (currentBody == null || currentBody.isComplete());
+            return mayContinue && HttpUtil.isKeepAlive(current.request)
+                    && (current.bodyRelay == null || current.bodyRelay.isComplete());
         }
 
         private void writeResponse(FullHttpResponse response, boolean close) {
@@ -846,12 +863,10 @@
             }
             traceId = null;
             exchange = null;
-            if (currentBody != null) {
-                currentBody.abandon();  // its body has been streamed, or is not needed
-            }
-            currentEnded();
-            currentRequest = null;
-            currentBody = null;
+            current.releaseMemory();
+            decodedBytes -= current.heldBytes;
+            abandonBody(current);  // it has been streamed, or is not needed
+            current = null;
             if (keepAlive) {
                 startNextRequest();
             } else {
@@ -873,11 +888,9 @@
             traceId = null;
         }
 
-        private void currentEnded() {
-            if (current != null) {
-                current.releaseMemory();
-                decodedBytes -= current.heldBytes;
-                current = null;
+        private static void abandonBody(PendingRequest request) {
+            if (request.bodyRelay != null) {
+                request.bodyRelay.abandon();
             }
         }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -45,6 +45,8 @@
     private static final long DEADLINE_GRACE_MICROS = 2_000;
     // Hosts answer probes ahead of their request queue, so a probe without a response by then has failed.
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
+    // Half a second after its deadline a response is lost; the platform may suspend the process for 0.15 s of it.
+    private static final long STREAMED_LATENESS_MICROS = 250_000;
     private static final long COUNTS_LOG_INTERVAL_MICROS = 5_000_000;
     private static final long GAUGE_UPDATE_INTERVAL_MICROS = 200_000;  // metrics may lag by half a second
     private static final String[] FORWARDED_HEADERS = {"X-Trace-Id", "Idempotency-Key"};
@@ -65,6 +67,10 @@
         /** The last time, on the gateway's clock, at which the client was known to be connected. */
         long connectedAsOf();
 
+        /** The earliest time, on the gateway's clock, at which the last byte of the current request may have been sent,
+            which has a long body. While that has not been read, it may wait in buffers of the system. */
+        long requestSentAt();
+
         /** Sends a host's complete response, which the caller releases. */
         void sendResponse(FullHttpResponse response);
 
@@ -113,18 +119,28 @@
         }
 
         private void startDeadline() {
-            deadline = now() + timeBudget;
+            deadline = (bodyRelay == null ? now() : client.requestSentAt()) + timeBudget;
             scheduleDeadlineTimer();
         }
 
+        /** The deadline of a request whose body is passed on while it arrives: where it is not known when its last byte
+            was sent, the response is late at the most, and not lost. */
+        private long streamedDeadline() {
+            return Math.min(now(), client.requestSentAt() + STREAMED_LATENESS_MICROS) + timeBudget;
+        }
+
+        /** When the request has to be answered. While its body is passed on, its client may not have sent the end. */
+        private long answerDue() {
+            long due = requestStreaming && bodyIncomplete ? streamedDeadline() : deadline;
+            return Math.min(due, answerDeadline - RESPONSE_MARGIN_MICROS);
+        }
+
         private void scheduleDeadlineTimer() {
-            long remaining = Math.min(deadline, answerDeadline - RESPONSE_MARGIN_MICROS) - now();
-            deadlineTimer = loop.schedule(() -> deadlineExceeded(this), remaining + DEADLINE_GRACE_MICROS,
+            deadlineTimer = loop.schedule(() -> deadlineReached(this), answerDue() + DEADLINE_GRACE_MICROS - now(),
                     TimeUnit.MICROSECONDS);
         }
 
-        /** Applies an earlier deadline of the gateway. The timer stays off while a body is in transit: that is bounded
-            by the time limits on the connection that sends it. */
+        /** Applies another deadline. The timer stays off while the response is being passed on. */
         private void rescheduleDeadlineTimer() {
             if (!deadlineTimer.isDone()) {
                 deadlineTimer.cancel(false);
@@ -389,9 +405,24 @@
         return exchange.ended ? null : exchange;
     }
 
+    /** Ends a request that is not answered by its deadline, unless that is later by now. */
+    private void deadlineReached(Exchange exchange) {
+        if (exchange.ended) {
+            return;
+        }
+        if (now() < exchange.answerDue()) {
+            exchange.scheduleDeadlineTimer();
+            return;
+        }
+        if (exchange.requestStreaming) {  // its host takes the body too slowly
+            exchange.attempts.forEach(HostConnectionPool.Attempt::expire);
+        }
+        deadlineExceeded(exchange);
+    }
+
     /** Fails a request that the balancer has not answered by its deadline. */
     private void deadlineExceeded(Exchange exchange) {
-        if (!exchange.ended) {
+        if (!exchange.ended && !exchange.responseStreaming) {
             metrics.increment(GatewayMetrics.Counter.OVERDUE);
             finish(exchange);
             recordFailure(exchange, "overdue");
@@ -555,17 +586,22 @@
             if (!exchange.ended) {
                 exchange.requestStreaming = true;
                 exchange.request.release();
-                exchange.deadlineTimer.cancel(false);
+                if (exchange.bodyRelay.isComplete()) {
+                    exchange.bodyComplete();
+                }
+                exchange.rescheduleDeadlineTimer();
                 dispatch(exchange, now -> balancer.streamingStarted(now, exchange.id, number));
             }
         }
 
         @Override
-        public void onRequestReceived() {
-            if (!exchange.ended) {
+        public long onRequestReceived() {
+            if (!exchange.ended && exchange.bodyIncomplete) {
+                exchange.deadline = exchange.streamedDeadline();
                 exchange.bodyComplete();
-                exchange.startDeadline();
+                exchange.rescheduleDeadlineTimer();
             }
+            return exchange.answerDue() - now();
         }
 
         @Override
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -90,8 +90,11 @@
         /** The request is streamed from now on and can't be sent again. */
         default void onRequestStreaming() { }
 
-        /** The client has sent the whole body of a request that is streamed: the attempt's timeout starts. */
-        default void onRequestReceived() { }
+        /** The client has sent the whole body of a request that is streamed: its time runs. Returns how much of it is
+            left, in microseconds. */
+        default long onRequestReceived() {
+            return Long.MAX_VALUE;
+        }
 
         /** The host's response has begun and paused for a while before any of it was passed on. Called again for each
             further pause. Returns whether to go on waiting for it until the attempt's timeout; otherwise the attempt
@@ -390,8 +393,8 @@
         /** The body has been read to its end: from then on its client waits for the response. */
         private void requestReceived() {
             if (!finished) {
+                timeout = Math.max(1, Math.min(timeout, listener.onRequestReceived()));
                 startTimer();
-                listener.onRequestReceived();
             }
         }
 
@@ -425,8 +428,8 @@
             return writeStarted;
         }
 
-        /** Ends the attempt at its timeout, unless the start of a response that may be a long one has come in time. */
-        private void expire() {
+        /** Ends the attempt as late, unless the start of a response that may be a long one has come in time. */
+        void expire() {
             HostConnection connection = writeStarted ? channel.pipeline().get(HostConnection.class) : null;
             if (connection == null || !connection.passOnRecentPart(this)) {
                 abort(writeStarted ? Outcome.EXPIRED : Outcome.DIAL_FAILED);
@@ -567,10 +570,6 @@
             channel.write(head);
             channel.writeAndFlush(new DefaultHttpContent(request.content()));
             sent.stopTimers();
-            // Where reading was paused, the rest may have been received long ago: only the time that is left applies.
-            if (sent.bodyRelay.isFull() || sent.bodyRelay.isFinished()) {
-                sent.timeout = sent.deadline - clock.getAsLong();
-            }
             sent.listener.onRequestStreaming();
             if (sent.bodyRelay.isComplete()) {
                 sent.requestReceived();
--- a/src/main/java/mastdrift/net/MemoryPool.java
+++ b/src/main/java/mastdrift/net/MemoryPool.java
@@ -82,6 +82,11 @@
         }
     }
 
+    /** Whether more than half of the pool is free. */
+    boolean isAmple() {
+        return usedBytes < maxBytes / 2;
+    }
+
     boolean isExhausted() {
         return usedBytes >= maxBytes;
     }
--- a/src/main/java/mastdrift/net/MessageAggregator.java
+++ b/src/main/java/mastdrift/net/MessageAggregator.java
@@ -43,10 +43,13 @@
     record AggregatedMessage(FullHttpMessage message, BodyRelay bodyRelay, MemoryPool.Reservation memory) { }
 
     /** CONTINUE_EXPECTED: the client waits for a 100 response before it sends the body of the request. MEMORY_NEEDED:
-        the message's body has to wait for memory. MEMORY_GRANTED: it need not any longer. */
-    enum Event { CONTINUE_EXPECTED, MEMORY_NEEDED, MEMORY_GRANTED }
+        the message's body has to wait for memory. MEMORY_GRANTED: it need not any longer. BODY_RECEIVED: the last part of
+        a body with a relay has arrived, and the relay is told next. */
+    enum Event { CONTINUE_EXPECTED, MEMORY_NEEDED, MEMORY_GRANTED, BODY_RECEIVED }
 
     private final MemoryPool pool;
+    private final MemoryPool relayPool;
+    private final int maxRelayBytes;
     private final boolean reserving;
     private MemoryPool.Reservation reservation;  // for the message that is being aggregated, or null
     private long countedBytes;  // what the pool counts for that message without a reservation
@@ -60,15 +63,31 @@
     /** What is held is counted in the pool. If {@code reserving}, memory for a body that is not small is reserved in it
         ahead; the receiver should not deliver more between the events MEMORY_NEEDED and MEMORY_GRANTED. */
     MessageAggregator(MemoryPool pool, boolean reserving) {
+        this(pool, pool, BodyRelay.MAX_BUFFERED_BYTES, reserving);
+    }
+
+    private MessageAggregator(MemoryPool pool, MemoryPool relayPool, int maxRelayBytes, boolean reserving) {
         this.pool = pool;
+        this.relayPool = relayPool;
+        this.maxRelayBytes = maxRelayBytes;
         this.reserving = reserving;
     }
 
+    /** An aggregator of requests, whose relays hold more than those of responses. */
+    static MessageAggregator ofRequests(MessageMemory memory) {
+        return new MessageAggregator(memory.requests, memory.uploads, BodyRelay.MAX_UPLOAD_BYTES, true);
+    }
+
     /** How much of the body of the current message has arrived; 0 between two messages. */
     long bytes() {
         return bytes;
     }
 
+    /** How much of the body of the current message has not arrived, at least; 1 if its length is unknown. */
+    long remainingBytes() {
+        return Math.max(1, contentLength - bytes);
+    }
+
     /** Whether a message has been read in part and not been passed on. */
     boolean hasIncompleteMessage() {
         return head != null;
@@ -81,7 +100,7 @@
 
     /** Passes on the part that has arrived, with a relay for the rest of the body. */
     void startRelay(ChannelHandlerContext context) {
-        activeRelay = new BodyRelay(pool);
+        activeRelay = new BodyRelay(relayPool, maxRelayBytes);
         emit(context, null, activeRelay);
     }
 
@@ -157,6 +176,7 @@
             if (error != null) {
                 activeRelay.fail();
             } else if (last) {
+                context.fireUserEventTriggered(Event.BODY_RECEIVED);
                 activeRelay.complete();
             }
             if (error != null || last) {
--- a/src/main/java/mastdrift/net/MessageMemory.java
+++ b/src/main/java/mastdrift/net/MessageMemory.java
@@ -6,17 +6,16 @@
 
     /** What clients have sent and the gateway has not decoded. */
     final MemoryPool readAhead = new MemoryPool(6L << 20);
-    /** Requests that are being read, wait for their turn or are open, and bodies on their way to hosts. */
+    /** Long bodies on their way to hosts. */
+    final MemoryPool uploads = new MemoryPool(6L << 20);
+    /** Requests that are being read, wait for their turn or are open. */
     final MemoryPool requests = new MemoryPool(10L << 20);
     /** Responses that are being read, and bodies on their way to clients. */
     final MemoryPool responses = new MemoryPool(8L << 20);
 
-    boolean isUnused() {
-        return readAhead.isUnused() && requests.isUnused() && responses.isUnused();
-    }
-
     /** What is held at the moment, in KiB. */
     int usedKibibytes() {
-        return (int) ((readAhead.usedBytes() + requests.usedBytes() + responses.usedBytes()) >> 10);
+        long bytes = readAhead.usedBytes() + uploads.usedBytes() + requests.usedBytes() + responses.usedBytes();
+        return (int) (bytes >> 10);
     }
 }
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -78,6 +78,17 @@
         return sendTimes.drainedAsOf(clock.getAsLong());
     }
 
+    /** The earliest time at which the input that was delivered last may have been sent. */
+    long deliveredSentAt() {
+        return sendTimes.deliveredSentAt();
+    }
+
+    /** The earliest time at which the byte may have been sent that is so many bytes behind what was delivered; no later
+        than the present. */
+    long sendTimeOf(long bytesAhead) {
+        return sendTimes.sendTimeOf(bytesAhead, clock.getAsLong());
+    }
+
     /** Reads until no input is left, or all that may be held is. False if more is left, so that a disconnect may lie
         behind it. */
     boolean readAll() {
@@ -208,9 +219,9 @@
         scheduleDelivery();
     }
 
-    /** Removes the first buffer, or a part of it if it is long. */
+    /** Removes the first buffer, or a part of it if it is long or was sent at different times. */
     private ByteBuf pollPart() {
-        ByteBuf part = buffers.poll(DELIVERY_BYTES);
+        ByteBuf part = buffers.poll(Math.min(DELIVERY_BYTES, sendTimes.nextDeliveryBytes()));
         sendTimes.delivered(part.readableBytes());
         updateHeld();
         return part;
--- a/src/main/java/mastdrift/net/RequestIdClaims.java
+++ b/src/main/java/mastdrift/net/RequestIdClaims.java
@@ -49,13 +49,13 @@
         this.table = table;
     }
 
-    /** Claims the id of a new request; false if it is taken. */
-    boolean claim(String id) {
+    /** Claims the id of a new request on that connection; false if it is taken. */
+    boolean claim(String id, AnsweredConnection own) {
         if (open.contains(id)) {
             return false;
         }
         AnsweredConnection connection = answered.get(id);
-        if (connection != null && connection.isClientConnected()) {
+        if (connection != null && (connection == own || connection.isClientConnected())) {
             table.release(id);
         }
         if (!table.claim(id)) {
--- a/src/main/java/mastdrift/net/SendTimeEstimator.java
+++ b/src/main/java/mastdrift/net/SendTimeEstimator.java
@@ -15,6 +15,9 @@
     // Times of reading are kept for every so many bytes.
     private static final long HISTORY_STEP_BYTES = 256 << 10;
 
+    // Input that was sent within this time counts as sent at its start: small pieces take no memory each.
+    private static final long RESOLUTION_MICROS = 10_000;
+
     /** A position up to which input had been read, or delivered, and a time that belongs to it. */
     private record Mark(long position, long time) { }
 
@@ -30,10 +33,8 @@
         undrainedSince = undrainedSince == 0 ? now : undrainedSince;
         readPosition += bytes;
         long sentAt = earliestSendTime(readPosition, now);
-        if (!undelivered.isEmpty() && undelivered.peekLast().time == sentAt) {
-            undelivered.removeLast();
-        }
-        undelivered.add(new Mark(readPosition, sentAt));
+        boolean merged = !undelivered.isEmpty() && sentAt - undelivered.peekLast().time < RESOLUTION_MICROS;
+        undelivered.add(new Mark(readPosition, merged ? undelivered.removeLast().time : sentAt));
         if (reads.isEmpty() || readPosition - reads.peekLast().position >= HISTORY_STEP_BYTES) {
             reads.add(new Mark(readPosition, now));
         }
@@ -50,6 +51,11 @@
         undrainedSince = undrainedSince == 0 ? now : undrainedSince;
     }
 
+    /** How many of the bytes that were read and are to be delivered next count as sent at the same time. */
+    int nextDeliveryBytes() {
+        return (int) (undelivered.element().position - deliveredPosition);
+    }
+
     /** So many bytes that were read have been delivered. */
     void delivered(int bytes) {
         deliveredPosition += bytes;
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -70,6 +70,11 @@
             return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());  // as the gateway counts from its start
         }
 
+        @Override
+        public long requestSentAt() {
+            throw new UnsupportedOperationException("no long body");
+        }
+
         @Override
         public void sendRefusal(long retryAfter) {
             answers.add("refused");
