Read all that a client may have sent before refusing it as one that may have left

Callers: a client that sent a long request and stayed got 503, as its connection to a host came late and over 1 MiB was unread, behind which it might have left.

Cause: the check before an attempt read up to the bound of ordinary reading.

EndingsTest.sendsLongRequestWhoseConnectionComesLate failed for 3 MB and holds for 0.9, 1.8 and 3 MB; EndingsTest and DepartedClientTest hold.

--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -29,7 +29,7 @@
     private static final long NEXT_TURN_MILLIS = 1;
     // By this time the selector has processed that the socket is not to be watched.
     private static final long SELECTOR_REARM_MILLIS = 1;
-    // Limit for one connection whose receiver pauses.
+    // Up to this much a connection whose receiver pauses is read as input comes.
     private static final int MAX_READ_AHEAD_BYTES = 1 << 20;
 
     private final MemoryPool pool;
@@ -89,20 +89,21 @@
         return sendTimes.sendTimeOf(bytesAhead, clock.getAsLong());
     }
 
-    /** Reads until no input is left, or all that may be held is. False if more is left, so that a disconnect may lie
-        behind it. */
+    /** Reads until no input is left, all that the system may have held of it included, or the pool is exhausted. False
+        if more is left, so that a disconnect may lie behind it. */
     boolean readAll() {
         if (!(context.channel() instanceof TcpChannel connection)) {
             return true;
         }
         do {
             connection.readOnce();
-        } while (connection.isActive() && !connection.isInputDrained() && hasRoomToReadAhead());
+        } while (connection.isActive() && !connection.isInputDrained()
+                && hasRoomToReadAhead(SendTimeEstimator.MAX_UNREAD_BYTES));
         return !connection.isActive() || connection.isInputDrained();
     }
 
-    private boolean hasRoomToReadAhead() {
-        return buffers.heldBytes() < MAX_READ_AHEAD_BYTES && !pool.isExhausted();
+    private boolean hasRoomToReadAhead(long maxBytes) {
+        return buffers.heldBytes() < maxBytes && !pool.isExhausted();
     }
 
     /** Pauses or continues delivery. */
@@ -239,7 +240,7 @@
         some. */
     void updateAutoRead() {
         boolean hasRoom = !paused ? buffers.heldBytes() < MAX_TURN_BYTES
-                : hasRoomToReadAhead() && disconnectRelevant.getAsBoolean();
+                : hasRoomToReadAhead(MAX_READ_AHEAD_BYTES) && disconnectRelevant.getAsBoolean();
         boolean autoRead = !rearmingSelector && (discarding || hasRoom);
         if (autoRead == context.channel().config().isAutoRead()) {
             return;
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -485,6 +485,32 @@
         }
     }
 
+    /** Guards against refusing a long request whose client has sent all of it, and stays, since its connection to a
+        host comes late: a disconnect could lie behind what is not read. */
+    @ParameterizedTest
+    @ValueSource(ints = {900_000, 1_800_000, 3_000_000})
+    void sendsLongRequestWhoseConnectionComesLate(int length) throws Exception {
+        try (Server discovery = discoveryServer(); FullBacklogHost fullHost = new FullBacklogHost();
+                GatewayNode node = startNode(discovery, SETTINGS, inService("s1", fullHost.address()))) {
+            Socket client = node.connect();
+            Thread sender = new Thread(() -> {
+                try {
+                    write(client, post("start", 20_000, "x".repeat(length)));
+                } catch (IOException closed) {
+                    return;
+                }
+            });
+            sender.start();
+            awaitCondition(() -> count(node, GatewayMetrics.Counter.HOST_DIALS) == 1);
+            awaitCondition(() -> heldRequestBytes(node) >= 800_000);
+            node.advanceClock(1_000);
+            Message request = Loopback.read(fullHost.acceptConnections());
+            assertEquals(length, request.body().length);
+            write(request.socket(), response("200 OK", "done"));
+            assertEquals("done", Loopback.read(client).bodyText());
+        }
+    }
+
     /** Guards against a response after the deadline: a long body waits for a connection, and the client's time has been
         running; reading is paused behind the longer one, so that its last byte is read long after it arrived. */
     @ParameterizedTest
