Check a client behind unread input before its first attempt, however recent the read

Callers: clients sent requests and left while the gateway's process was suspended for 0.15 s and more; the first of their requests were sent to hosts afterwards.

Cause: a request's client counted as connected as of the read of its input, but after a suspension all of it, the close included, may have waited for long. What was read in the same turn was seen; a close behind more than 32 kB was not.

Where input may be left, the connection is read on before the first attempt, up to what the system can hold; if more is left, a complete request is refused. A long body that is arriving may be all that is left: there the recent read counts.

--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -766,6 +766,11 @@
             return readAhead.connectedAsOf();
         }
 
+        @Override
+        public boolean mayHaveUnreadInput() {
+            return readAhead.mayHaveUnreadInput();
+        }
+
         @Override
         public long requestSentAt() {
             if (current.sentAt != 0) {
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -67,6 +67,12 @@
         /** The last time, on the gateway's clock, at which the client was known to be connected. */
         long connectedAsOf();
 
+        /** Whether input may be left that has not been read: the client may have sent it, and disconnected, long ago if
+            the process was suspended. */
+        default boolean mayHaveUnreadInput() {
+            return false;
+        }
+
         /** The earliest time, on the gateway's clock, at which the last byte of the current request may have been sent,
             which has a long body. While that has not been read, it may wait in buffers of the system. */
         long requestSentAt();
@@ -95,6 +101,7 @@
         private final BodyRelay bodyRelay;  // the rest of the body, null if the request is complete
         private final long timeBudget;  // from the last byte of the request, in microseconds
         private long clientCheckedAt;  // the client was known to be connected at that time
+        private boolean inputUnread;  // more of the client's input may have arrived before the request was read
         private final List<HostConnectionPool.Attempt> attempts = new ArrayList<>(2);
         private Future<?> deadlineTimer;
         private long deadline;  // on the gateway's clock
@@ -116,6 +123,7 @@
             this.timeBudget = timeBudget;
             bodyIncomplete = bodyRelay != null;
             clientCheckedAt = client.connectedAsOf();
+            inputUnread = client.mayHaveUnreadInput();
         }
 
         private void startDeadline() {
@@ -523,16 +531,21 @@
     }
 
     /** Checks, before an attempt starts, that the client has not disconnected; otherwise ends the request. Where that
-        can't be known the attempt must not start. */
+        can't be known the attempt must not start, unless more of a long body that is arriving is all that is unread. */
     private boolean verifyClientConnected(Exchange exchange) {
         long now = now();
-        if (exchange.ended || exchange.requestStreaming || now - exchange.clientCheckedAt < CLIENT_CHECK_INTERVAL_MICROS) {
+        boolean recent = now - exchange.clientCheckedAt < CLIENT_CHECK_INTERVAL_MICROS;
+        if (exchange.ended || exchange.requestStreaming || recent && !exchange.inputUnread) {
             return true;
         }
+        exchange.inputUnread = false;
         switch (exchange.client.checkConnection()) {
             case CONNECTED -> exchange.clientCheckedAt = now;
             case DISCONNECTED -> exchange.clientLeft();
             case UNKNOWN -> {
+                if (recent && exchange.bodyRelay != null) {
+                    return true;
+                }
                 endUnverified(exchange);
                 return false;
             }
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -78,6 +78,11 @@
         return sendTimes.drainedAsOf(clock.getAsLong());
     }
 
+    /** Whether the last read has found more input, or none has followed a pause. */
+    boolean mayHaveUnreadInput() {
+        return !sendTimes.isDrained();
+    }
+
     /** The earliest time at which the input that was delivered last may have been sent. */
     long deliveredSentAt() {
         return sendTimes.deliveredSentAt();
--- a/src/main/java/mastdrift/net/SendTimeEstimator.java
+++ b/src/main/java/mastdrift/net/SendTimeEstimator.java
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Whether the last read has found no more input, and reading goes on. */
+    boolean isDrained() {
+        return undrainedSince == 0;
+    }
+
     /** The last time at which all that had arrived was read, the end of the connection included. */
     long drainedAsOf(long now) {
         return undrainedSince == 0 ? now : undrainedSince;
--- a/src/test/java/mastdrift/net/DepartedClientTest.java
+++ b/src/test/java/mastdrift/net/DepartedClientTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import mastdrift.net.Loopback.Server;
@@ -134,4 +135,35 @@
             assertEquals(List.of(), late, gateway.log());
         }
     }
+
+    /** Guards against requests that are sent on for clients that have left while the process was suspended: their close
+        lies behind more input than is read at once. */
+    @ParameterizedTest
+    @CsvSource({"0, 20000, 1, false", "60000, 20000, 1, false", "60000, 20000, 1, true", "1000000, 20000, 5, false",
+        "2600000, 60000, 3, false", "2600000, 1000, 1, true", "200000, 100, 10, false"})
+    void doesNotSendOnForClientsThatLeftDuringASuspension(int bytesBehind, int each, int clients, boolean reset)
+            throws Exception {
+        try (Server discovery = discoveryServer(); RecordingHost host = new RecordingHost();
+                GatewayProcess gateway = start("n0", null, discovery, host)) {
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < clients; i++) {
+                sockets.add(gateway.connect(20_000));
+                write(sockets.get(i), "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+                assertEquals(200, Loopback.read(sockets.get(i)).status());
+            }
+            gateway.signal("STOP");
+            for (Socket client : sockets) {
+                write(client, request("once", "first" + client.getLocalPort(), "work=1", 1));
+                writeAside(client, requests(bytesBehind, each));
+            }
+            TimeUnit.MILLISECONDS.sleep(100);
+            for (Socket client : sockets) {
+                leave(client, reset);
+            }
+            TimeUnit.MILLISECONDS.sleep(SLACK_MILLIS);
+            gateway.signal("CONT");
+            TimeUnit.MILLISECONDS.sleep(1_000);
+            assertEquals(List.of(), host.received().stream().map(RecordingHost.Received::id).toList(), gateway.log());
+        }
+    }
 }
