Try again to open the file of shared request ids, and give it room at once

By reading, on the path of ids that run twice: where the file could not be opened for a moment (EMFILE, EIO) a process kept its ids to itself for good, so that an id could run at both processes of an upgrade; and a file without allocated pages is a fault of the virtual machine once the file system is full.

The file is opened again for 1 s, and filled with zeros where it is new.

RequestIdsTest.idsAreSharedThoughTheFileCanNotBeOpenedAtFirst holds; it calls a method that the code before does not have, which gave up at the first failure. A full file system was not tried.

--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -38,6 +38,7 @@
     private static final int LISTEN_TRIES = 50;
     private static final long RETRY_MILLIS = 100;
     private static final int CONFIG_READ_TRIES = 20;
+    private static final int REQUEST_ID_TRIES = 10;
     // At its end the process waits this long for a log output that takes no lines; the platform's SIGKILL comes later.
     private static final long LOG_FLUSH_TIMEOUT_MILLIS = 100;
     // Names the folder that is the same for a process and its successor.
@@ -200,11 +201,22 @@
     /** The ids of requests, which a process shares with its successor where it may have one: both are one gateway. */
     private static RequestIds requestIds(Config config, LongSupplier steadyMicros, Consumer<String> logOutput) {
         String folder = System.getenv(SHARED_FOLDER_VARIABLE);
-        if (config.socketInherited() && folder != null) {
+        return config.socketInherited() && folder != null ? sharedRequestIds(folder, steadyMicros, logOutput)
+                : RequestIds.ofThisProcess(steadyMicros);
+    }
+
+    /** The ids in a file of that folder, which is opened again if that fails for a moment; those of this process alone
+        if it can't be used. */
+    static RequestIds sharedRequestIds(String folder, LongSupplier steadyMicros, Consumer<String> logOutput) {
+        for (int tries = 1; tries <= REQUEST_ID_TRIES; tries++) {
             try {
                 return RequestIds.shared(Path.of(folder), steadyMicros);
-            } catch (IOException | InvalidPathException e) {
-                logOutput.accept("request ids are not shared with another process: " + e);
+            } catch (IOException e) {
+                logOutput.accept("request ids are not shared with another process yet: " + e);
+                sleepBeforeRetry();
+            } catch (InvalidPathException e) {
+                logOutput.accept("request ids can't be shared with another process: " + e);
+                break;
             }
         }
         return RequestIds.ofThisProcess(steadyMicros);
--- a/src/main/java/mastdrift/net/RequestIds.java
+++ b/src/main/java/mastdrift/net/RequestIds.java
@@ -47,10 +47,19 @@
     static RequestIds shared(Path folder, LongSupplier steadyMicros) throws IOException {
         try (FileChannel file = FileChannel.open(folder.resolve(FILE_NAME), StandardOpenOption.CREATE,
                 StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            allocate(file);
             return new RequestIds(file.map(FileChannel.MapMode.READ_WRITE, 0, TABLE_BYTES), steadyMicros);
         }
     }
 
+    /** Fills a new file: an access to a mapped page for which the file system has no room would be a fault of the
+        virtual machine. */
+    private static void allocate(FileChannel file) throws IOException {
+        for (long size = file.size(); size < TABLE_BYTES; ) {
+            size += file.write(ByteBuffer.allocate((int) (TABLE_BYTES - size)), size);
+        }
+    }
+
     /** Claims an id; false if it is taken. */
     boolean claim(String id) {
         long hash = hash(id);
--- a/src/test/java/mastdrift/net/RequestIdsTest.java
+++ b/src/test/java/mastdrift/net/RequestIdsTest.java
@@ -14,8 +14,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -86,6 +89,21 @@
         assertTrue(successor.claim("a"));
     }
 
+    /** Guards against an id that runs at both processes since one of them could not open the file for a moment. */
+    @Test
+    void idsAreSharedThoughTheFileCanNotBeOpenedAtFirst() throws Exception {
+        Path file = folder.resolve("request-ids-1");
+        Files.createDirectory(file);  // in place of the file
+        List<String> log = new ArrayList<>();
+        RequestIds late = Main.sharedRequestIds(folder.toString(), clock::get, line -> {
+            log.add(line);
+            file.toFile().delete();
+        });
+        assertTrue(RequestIds.shared(folder, clock::get).claim("a"));
+        assertFalse(late.claim("a"));
+        assertEquals(1, log.size());
+    }
+
     @Test
     void retainedIdIsFreeAfterTheTimeInWhichItMayRun() {
         RequestIds ids = RequestIds.ofThisProcess(clock::get);
