--- a/src/main/java/mastdrift/net/RequestIdClaims.java
+++ b/src/main/java/mastdrift/net/RequestIdClaims.java
@@ -5,10 +5,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The ids that this process's requests hold: each must not run twice. An id is taken while its request is open, and for
-    as long as {@link RequestIds} retains it if a host may have received it: whether a client has read its answer can't be
-    known. It is free earlier only to a client whose connection with the answer is still there. Used on one event loop's
-    thread. */
+/** The ids that this process's requests hold: each must not run twice. An id is taken while its request is open, and
+    for as long as {@link RequestIds} retains it if a host may have received it: whether a client has read its answer
+    can't be known. It is free earlier only to a client whose connection with the answer is still there. Used on one
+    event loop's thread. */
 final class RequestIdClaims {
 
     // Ids that were answered before these stay taken, also where their client is still there.
--- a/src/main/java/mastdrift/net/UsedHeaders.java
+++ b/src/main/java/mastdrift/net/UsedHeaders.java
@@ -29,7 +29,7 @@
 
     private static HttpHeaders usedNames() {
         HttpHeaders names = new DefaultHttpHeaders();
-        DownstreamServer.REQUEST_HEADERS.forEach(name -> names.set(name, ""));
+        RequestParser.REQUEST_HEADERS.forEach(name -> names.set(name, ""));
         EntityHeaders.NAMES.forEach(name -> names.set(name, ""));
         names.set(HttpHeaderNames.CONTENT_LENGTH, "").set(HttpHeaderNames.TRANSFER_ENCODING, "")
                 .set(HttpHeaderNames.CONNECTION, "").set(HttpHeaderNames.EXPECT, "");
--- a/src/test/java/mastdrift/net/RecordingHost.java
+++ b/src/test/java/mastdrift/net/RecordingHost.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.TimeUnit;
 
 /** A host that records when each request begins and whether it comes whole, and that does what the request's query
-    asks for: {@code stall} is how many milliseconds it waits before it reads the body, {@code rate} how many bytes of it it
-    reads a second, {@code work} how many milliseconds it takes for the answer, {@code size} that answer's length, {@code piece} and {@code pause} the pieces in which it writes
+    asks for: {@code stall} is how many milliseconds it waits before it reads the body, {@code rate} how many bytes of
+    it it reads a second, {@code work} how many milliseconds it takes for the answer, {@code size} its length, {@code piece} and {@code pause} the pieces in which it writes
     it, {@code framing} its framing (length, chunks or close). {@code end=reset} resets the connection instead of an
     answer. */
 final class RecordingHost implements AutoCloseable {
--- a/src/test/java/mastdrift/net/SendTimeEstimatorTest.java
+++ b/src/test/java/mastdrift/net/SendTimeEstimatorTest.java
@@ -24,7 +24,8 @@
         assertEquals(900_000, times.drainedAsOf(900_000));
     }
 
-    /** Guards against a client that counts as connected when its input is read, though it may have left in the pause. */
+    /** Guards against a client that counts as connected when its input is read, though it may have left in the
+        pause. */
     @Test
     void clientMayHaveLeftSinceReadingStopped() {
         times.read(100, 500_000);
