Let requests that were sent at once wait for memory together, and answer each

Cause: each request that had to wait for memory waited for up to 0.5 s from when its head was read, one behind the other; and a request refused for memory ended its connection, with the requests behind it unanswered. The wait counts from when the request may have been sent now, and the rest of a refused body is read and ignored, so that the connection goes on.

EndingsTest.requestsSentAtOnceWaitForMemoryTogether failed before (the second of six requests got no answer) and holds; EndingsTest and MemoryPoolTest hold.

--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -47,8 +47,8 @@
     private static final long MAX_DECODED_BYTES = 32 << 10;
     // What a request's head, its objects and its place in the queue take at least.
     private static final long REQUEST_OVERHEAD_BYTES = 2 << 10;
-    // A request that has waited so long for memory is refused: its client's time is running.
-    private static final long MEMORY_TIMEOUT_MILLIS = 500;
+    // A request that waits for memory so long after it was sent is refused: its client's time is running.
+    private static final long MEMORY_TIMEOUT_MICROS = 500_000;
     // A connection that is closed gracefully reads and discards input for this long, unless its client closes before.
     private static final long LINGER_MILLIS = 2000;
     private static final long IDLE_TIMEOUT_MICROS = 10_000_000;  // connections without requests are not kept forever
@@ -341,7 +341,9 @@
         }
         if (event == MessageAggregator.Event.MEMORY_NEEDED) {
             setAwaitingMemory(true);
-            memoryTimer = channel.eventLoop().schedule(this::refuseForMemory, MEMORY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            long waited = gateway.now() - readAhead.deliveredSentAt();
+            memoryTimer = channel.eventLoop().schedule(this::refuseForMemory, MEMORY_TIMEOUT_MICROS - waited,
+                    TimeUnit.MICROSECONDS);
         }
         if (event == MessageAggregator.Event.MEMORY_GRANTED) {
             memoryTimer.cancel(false);
@@ -408,7 +410,9 @@
         request.setUri(RequestParser.originForm(request.uri()));
         String path = new QueryStringDecoder(request.uri()).rawPath();
         if (decodeError != null) {
-            writeEmptyResponse(statusOf(decodeError), true);
+            // The rest of a body for which there was no memory is read and ignored.
+            boolean readable = decodeError instanceof MessageAggregator.MemoryExhaustedException;
+            writeEmptyResponse(statusOf(decodeError), !readable);
         } else if (path.equals("/ready")) {
             boolean get = request.method().equals(HttpMethod.GET);
             writeEmptyResponse(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
--- a/src/test/java/mastdrift/net/EndingsTest.java
+++ b/src/test/java/mastdrift/net/EndingsTest.java
@@ -239,6 +239,27 @@
         }
     }
 
+    /** Guards against answers that come late since each of several requests, sent at once, waits for memory anew. */
+    @Test
+    void requestsSentAtOnceWaitForMemoryTogether() throws Exception {
+        int requests = 6;
+        int lostAfterMillis = 1_400;  // half a second after their time
+        try (Server discovery = discoveryServer(); Server host = Loopback.hostResponding("1");
+                GatewayNode node = startNode(discovery, SETTINGS, inService("s1", host.address()))) {
+            node.loop.submit(() -> node.server.gateway().memory().requests.add(10 << 20)).syncUninterruptibly();
+            Socket client = node.connect();
+            for (int i = 0; i < requests; i++) {
+                write(client, post("once", lostAfterMillis - 500, "x".repeat(50_000)).replace("9b1f", "at-once" + i));
+            }
+            long sentAt = System.nanoTime();
+            for (int i = 0; i < requests; i++) {
+                assertEquals(503, Loopback.read(client).status());
+            }
+            long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
+            assertTrue(tookMillis < lostAfterMillis, "answered after " + tookMillis + " ms");
+        }
+    }
+
     /** What happens while the gateway's event loop is blocked. */
     private interface Action {
         void run() throws Exception;
