--- a/src/main/java/mastdrift/net/MetricsExposition.java
+++ b/src/main/java/mastdrift/net/MetricsExposition.java
@@ -39,6 +39,15 @@
                 "Writes that met a shortage of the system's and were made again.");
         appendCounter(text, metrics, GatewayMetrics.Counter.UNANSWERED,
                 "Clients' connections that were ended with a request open.");
+        appendCounter(text, metrics, GatewayMetrics.Counter.RESPONSES_STALLED,
+                "Hosts' responses that paused before any of them was passed on.");
+        appendCounter(text, metrics, GatewayMetrics.Counter.RESPONSES_CUT_OFF,
+                "Hosts' responses that were given up after their start had been passed on.");
+        appendCounter(text, metrics, GatewayMetrics.Counter.REFUSED_FOR_MEMORY,
+                "Requests for whose body no memory became free.");
+        appendCounter(text, metrics, GatewayMetrics.Counter.CLIENTS_UNVERIFIED,
+                "Requests ended since their client may have left behind unread input.");
+        appendCounter(text, metrics, GatewayMetrics.Counter.IDS_TAKEN, "Requests whose id was taken.");
         appendCounter(text, metrics, GatewayMetrics.Counter.DEPARTED, "Requests whose client went away first.");
         appendCounter(text, metrics, GatewayMetrics.Counter.LOOP_LATE,
                 "Times that the event loop was late by over 0.15 s.");
