Vary more in the test of faulty peers: suspensions, send buffers, hosts that reset

SIGSTOP of 0.14 s in series, clients' send buffers of 8 and 100 kB, uploads behind other requests, hosts that stall before or reset in the midst of a body.

--- a/src/test/java/mastdrift/net/ClientScript.java
+++ b/src/test/java/mastdrift/net/ClientScript.java
@@ -94,6 +94,16 @@
         start(threads, SOUND_CLIENTS, random, this::actSoundly);
     }
 
+    /** Connects with a send buffer of some size, since what waits in it is not seen by the gateway. */
+    private Socket connect(Random random) throws IOException {
+        Socket socket = gateway.connect(READ_TIMEOUT_MILLIS);
+        int sendBuffer = pick(random, List.of(0, 0, 8_000, 100_000));
+        if (sendBuffer > 0) {
+            socket.setSendBufferSize(sendBuffer);
+        }
+        return socket;
+    }
+
     private interface Step {
         void run(Random random) throws Exception;
     }
@@ -150,7 +160,8 @@
         int work = pick(random, List.of(5, 100, 300, 700));
         String type = pick(random, List.of("once", "once", "start"));
         boolean longUpload = random.nextInt(4) == 0;
-        int uploadBytes = longUpload ? 100_000 + random.nextInt(500_000) : random.nextInt(3) == 0 ? random.nextInt(60_000) : 1;
+        int shortBytes = random.nextInt(3) == 0 ? random.nextInt(60_000) : 1;
+        int uploadBytes = longUpload ? 100_000 + random.nextInt(500_000) : shortBytes;
         int chunkBytes = pick(random, List.of(0, 0, 1_000, 16_000));
         int rate = longUpload ? 200_000 + random.nextInt(1_000_000) : 0;
         String fault = pick(random, List.of("", "", "&end=reset", "&stall=600", "&size=300000"));
@@ -165,7 +176,7 @@
         int stayMillis = pick(random, List.of(0, 5, 50, 200, 500));
         String way = pick(random, List.of("close", "reset", "half-close"));
         boolean reads = random.nextBoolean();
-        Socket socket = gateway.connect(READ_TIMEOUT_MILLIS);
+        Socket socket = connect(random);
         try {
             Thread sender = startThread(() -> {
                 for (Request request : sent) {
@@ -217,12 +228,23 @@
         int deadline = pick(random, List.of(300, 900, LONGEST_DEADLINE_MILLIS));
         int pieceBytes = pick(random, List.of(0, 0, 8_000, 40_000));
         pieceBytes = pieceBytes == 0 ? 0 : Math.max(pieceBytes, bytes / MAX_PIECES);
-        Request request = request(pick(random, List.of("once", "start")), deadline, "rate=" + rate, bytes, chunkBytes);
+        String fault = pick(random, List.of("", "", "", "&cut=" + bytes / 2, "&stall=800"));
+        Request request = request(pick(random, List.of("once", "start")), deadline, "rate=" + rate + fault, bytes,
+                chunkBytes);
+        List<Request> ahead = new ArrayList<>();
+        for (int i = pick(random, List.of(0, 0, 0, 1, 3)); i > 0; i--) {
+            ahead.add(request("read", deadline, "work=60", 0, 0));
+        }
         int piece = pieceBytes;
         String how = "upload of " + bytes + (chunkBytes > 0 ? " in chunks of " + chunkBytes : "") + " read at " + rate
-                + " a second, in pieces of " + pieceBytes + ", with " + deadline + " ms";
-        try (Socket socket = gateway.connect(READ_TIMEOUT_MILLIS)) {
-            Thread reader = awaitAnswer(socket, request, how, () -> writeInPieces(socket, request.bytes, piece));
+                + fault + " a second, in pieces of " + pieceBytes + ", behind " + ahead.size() + ", with " + deadline + " ms";
+        try (Socket socket = connect(random)) {
+            Thread reader = awaitAnswer(socket, request, ahead.size(), how, () -> {
+                for (Request before : ahead) {
+                    socket.getOutputStream().write(before.bytes);
+                }
+                writeInPieces(socket, request.bytes, piece);
+            });
             reader.join();
         }
     }
@@ -232,11 +254,14 @@
     }
 
     /** Writes, and records when the answer came in relation to its time, which runs from the end of the write. */
-    private Thread awaitAnswer(Socket socket, Request request, String how, Writer writer) {
+    private Thread awaitAnswer(Socket socket, Request request, int answersAhead, String how, Writer writer) {
         long[] answeredAt = new long[1];
         int[] status = new int[1];
         Thread reader = startThread(() -> {
             try {
+                for (int i = 0; i < answersAhead; i++) {
+                    Loopback.read(socket);
+                }
                 Loopback.Message answer = Loopback.read(socket);
                 status[0] = answer == null ? 0 : answer.status();
             } finally {
--- a/src/test/java/mastdrift/net/PeerFaultsTest.java
+++ b/src/test/java/mastdrift/net/PeerFaultsTest.java
@@ -29,7 +29,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Gateway processes under clients that leave in every way, slow peers and many requests at once, beside clients that
-    do nothing unusual; some seeds with an upgrade, SIGHUP in series, or a crowd of idle connections. More seeds by hand:
+    do nothing unusual; some seeds with an upgrade, SIGHUP and suspensions in series, or a crowd of idle connections. By
+    hand:
     {@code -Dpeers.seeds=1..50}. */
 class PeerFaultsTest {
 
@@ -38,6 +39,7 @@
     private static final int RUN_MILLIS = 9_000;
     private static final int UPGRADE_AT_MILLIS = 2_500;
     private static final int SIGNAL_PAUSE_MILLIS = 300;
+    private static final int SUSPENSION_MILLIS = 140;  // and what it takes to send two signals
     // The rules' limits: the 0.1 s and 0.5 s of the pages, with the 50 ms of the sockets.
     private static final long DEPARTED_SLACK_MILLIS = 150;
     private static final long LATE_MILLIS = 550;
@@ -93,7 +95,7 @@
                 }
                 while (signals && System.nanoTime() < endAt) {
                     TimeUnit.MILLISECONDS.sleep(SIGNAL_PAUSE_MILLIS * (1 + random.nextInt(6)));
-                    (successor == null ? gateway : successor).signal("HUP");
+                    sendSignals(successor == null ? gateway : successor, random);
                 }
                 for (Thread thread : threads) {
                     thread.join();
@@ -118,6 +120,17 @@
         }
     }
 
+    /** SIGHUP, or a suspension of the length that the platform may impose. */
+    private static void sendSignals(GatewayProcess gateway, Random random) throws Exception {
+        if (random.nextBoolean()) {
+            gateway.signal("HUP");
+            return;
+        }
+        gateway.signal("STOP");
+        TimeUnit.MILLISECONDS.sleep(SUSPENSION_MILLIS);
+        gateway.signal("CONT");
+    }
+
     /** How long this process itself was late at most: what it measured is off by as much. */
     private static void measurePauses(long endAt, AtomicLong longestMillis) throws InterruptedException {
         while (System.nanoTime() < endAt) {
--- a/src/test/java/mastdrift/net/RecordingHost.java
+++ b/src/test/java/mastdrift/net/RecordingHost.java
@@ -18,7 +18,7 @@
     asks for: {@code stall} is how many milliseconds it waits before it reads the body, {@code rate} how many bytes of
     it it reads a second, {@code work} how many milliseconds it takes for the answer, {@code size} its length, {@code piece} and {@code pause} the pieces in which it writes
     it, {@code framing} its framing (length, chunks or close). {@code end=reset} resets the connection instead of an
-    answer. */
+    answer, {@code cut} does so after so many bytes of the body. */
 final class RecordingHost implements AutoCloseable {
 
     private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
@@ -160,6 +160,12 @@
     }
 
     private static void readBody(InputStream in, Loopback.Message message) throws IOException {
+        int cut = query(message.head(), "cut", 0);
+        if (cut > 0) {
+            skip(in, cut);
+            message.socket().setSoLinger(true, 0);
+            message.socket().close();
+        }
         if (message.header("Transfer-Encoding") == null) {
             String length = message.header("Content-Length");
             skip(in, length == null ? 0 : Long.parseLong(length));
