--- a/src/test/java/mastdrift/net/CrowdTest.java
+++ b/src/test/java/mastdrift/net/CrowdTest.java
@@ -7,6 +7,7 @@
 import static mastdrift.net.Loopback.post;
 import static mastdrift.net.Loopback.response;
 import static mastdrift.net.Loopback.write;
+import static mastdrift.net.RecordingHost.startThread;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -167,23 +168,6 @@
         startThread(() -> GatewayProcess.discard(socket.getInputStream()));
     }
 
-    private interface Body {
-        void run() throws Exception;
-    }
-
-    private static Thread startThread(Body body) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                body.run();
-            } catch (Exception ended) {
-                return;  // the gateway, or the end of the test, has closed the connection
-            }
-        }, "crowd", 256 << 10);
-        thread.setDaemon(true);
-        thread.start();
-        return thread;
-    }
-
     /** A request with an id of its own; a negative length is a body in chunks. The body is not part of it. */
     private static String request(int client, int number, int length, String fields) {
         String id = "c" + client + "n" + number;
--- a/src/test/java/mastdrift/net/LongBodyTest.java
+++ b/src/test/java/mastdrift/net/LongBodyTest.java
@@ -413,7 +413,7 @@
     @Test
     void relayReportsFullWhileChannelIsNotWritable() {
         EmbeddedChannel channel = new EmbeddedChannel();
-        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20));
+        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20), BodyRelay.MAX_BUFFERED_BYTES);
         List<Boolean> full = new ArrayList<>();
         List<Boolean> done = new ArrayList<>();
         relay.onFullChange(() -> full.add(relay.isFull()));
@@ -442,7 +442,7 @@
     @Test
     void relayWritesWhatWasReadTogetherInOnePiece() {
         EmbeddedChannel channel = new EmbeddedChannel();
-        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20));
+        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20), BodyRelay.MAX_BUFFERED_BYTES);
         relay.writeTo(channel, written -> { });
         for (int i = 0; i < 1000; i++) {
             relay.add(buffer(1));
@@ -472,7 +472,7 @@
     /** Guards against a last chunk written in the midst of the chunk before it, whose write fills the channel. */
     @Test
     void relayWritesLastChunkAfterTheChunkThatFillsTheChannel() {
-        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20));
+        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20), BodyRelay.MAX_BUFFERED_BYTES);
         EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseEncoder(), new ChannelInboundHandlerAdapter() {
             @Override
             public void channelWritabilityChanged(ChannelHandlerContext context) {
@@ -500,7 +500,7 @@
         disconnects while its request waits. */
     @Test
     void relayReleasesBuffersIfItFailsBeforeWriting() {
-        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20));
+        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20), BodyRelay.MAX_BUFFERED_BYTES);
         ByteBuf held = buffer(10);
         relay.add(held);
         relay.fail();
@@ -513,7 +513,7 @@
     /** Guards against buffers that are never released. */
     @Test
     void abandonedRelayReleasesItsBuffers() {
-        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20));
+        BodyRelay relay = new BodyRelay(new MemoryPool(1 << 20), BodyRelay.MAX_BUFFERED_BYTES);
         ByteBuf held = buffer(40_000);
         ByteBuf late = buffer(1);
         relay.add(held);
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -95,7 +95,7 @@
         }
     }
 
-    private static String readLine(InputStream in) throws IOException {
+    static String readLine(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
         for (int next = in.read(); next != '\n'; next = in.read()) {
             if (next < 0) {
--- a/src/test/java/mastdrift/net/MemoryPoolTest.java
+++ b/src/test/java/mastdrift/net/MemoryPoolTest.java
@@ -133,7 +133,7 @@
     /** Guards against relays that take all memory where many hosts or clients read slowly. */
     @Test
     void relaysHoldLittleWhileThePoolIsExhausted() {
-        BodyRelay relay = new BodyRelay(pool);
+        BodyRelay relay = new BodyRelay(pool, BodyRelay.MAX_BUFFERED_BYTES);
         relay.add(Unpooled.wrappedBuffer(new byte[5_000]));
         assertFalse(relay.isFull());
         pool.add(POOL_BYTES);
--- a/src/test/java/mastdrift/net/PassedSocket.java
+++ b/src/test/java/mastdrift/net/PassedSocket.java
@@ -2,7 +2,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -43,7 +42,7 @@
         holder.getOutputStream().flush();
         String processId = processIds.readLine();
         return ProcessHandle.of(Long.parseLong(processId))
-                .orElseThrow(() -> new UncheckedIOException(new IOException("not started: " + command)));
+                .orElseThrow(() -> new IllegalStateException("not started: " + command));
     }
 
     @Override
--- a/src/test/java/mastdrift/net/RecordingHost.java
+++ b/src/test/java/mastdrift/net/RecordingHost.java
@@ -172,27 +172,16 @@
             return;
         }
         while (true) {
-            String line = readLine(in);
+            String line = Loopback.readLine(in);
             long size = Long.parseLong(line, 16);
             skip(in, size);
-            readLine(in);
+            Loopback.readLine(in);
             if (size == 0) {
                 return;
             }
         }
     }
 
-    private static String readLine(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int next = in.read(); next != '\n'; next = in.read()) {
-            if (next < 0) {
-                throw new IOException("ended within a line");
-            }
-            line.append((char) next);
-        }
-        return line.toString().strip();
-    }
-
     private static void skip(InputStream in, long bytes) throws IOException {
         byte[] buffer = new byte[READ_BYTES];
         for (long left = bytes; left > 0; ) {
