Say once how an id ends, which counters are exposed, and where marks are dropped

From reading the change again, with the same behaviour: answered and departed requests end their ids by one call; the counters that are exposed are a list (the text of all 71 lines is the same as before); SendTimeEstimator drops old marks where it adds new ones, and not in a query; a start that can't share its ids does not wait behind its last try.

The tests of the touched classes and PeerFaultsTest hold.

--- a/src/main/java/mastdrift/net/BodyRelay.java
+++ b/src/main/java/mastdrift/net/BodyRelay.java
@@ -34,11 +34,6 @@
     private Channel target;
     private Consumer<Boolean> onWritten;
 
-    /** A relay with the limit of responses. */
-    BodyRelay(MemoryPool pool) {
-        this(pool, MAX_BUFFERED_BYTES);
-    }
-
     /** What the relay holds is counted in the pool, and is about {@code maxBytes} at the most. */
     BodyRelay(MemoryPool pool, int maxBytes) {
         this.pool = pool;
--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -127,6 +127,8 @@
     private final MessageAggregator aggregator;
     private final RequestReadTimer readTimer = new RequestReadTimer();
     private final Queue<PendingRequest> pendingRequests = new ArrayDeque<>();
+    private final RequestIdClaims.AnsweredConnection answeredConnection =
+            new RequestIdClaims.AnsweredConnection(this);
     private PendingRequest current;  // null if none is being handled
     private long decodedBytes;  // what the current and the pending requests hold
     private boolean awaitingMemory;  // for the request that is being read
@@ -134,8 +136,6 @@
     private PendingRequest incoming;  // the one whose long body is being read, the current one or a later one
     private BodyRelay outgoingBody;  // of the response that is being written
     private boolean continueExpected;  // the client waits for a 100 response before it sends the body
-    private final RequestIdClaims.AnsweredConnection answeredConnection =
-            new RequestIdClaims.AnsweredConnection(this);
     private Gateway.Exchange exchange;
     private String traceId;  // of the current request once it is submitted
     private boolean requestRead;  // since the last channelReadComplete
@@ -267,7 +267,11 @@
         logUnanswered();
         connections.remove(this);
         discardPending();
-        endUnanswered();
+        answeredConnection.ended();
+        if (exchange != null) {
+            exchange.clientLeft();
+        }
+        endRequestId();
         if (current != null) {
             current.releaseMemory();
             abandonBody(current);
@@ -584,12 +588,7 @@
 
     /** The response has been written, whether or not the whole request had arrived. */
     private void responseWritten(boolean keepAlive) {
-        if (traceId != null && exchange != null && exchange.mayStillRun()) {
-            requestIds.retainAnswered(traceId, answeredConnection);
-        } else if (traceId != null) {
-            requestIds.release(traceId);
-        }
-        traceId = null;
+        endRequestId();
         exchange = null;
         current.releaseMemory();
         decodedBytes -= current.heldBytes;
@@ -602,18 +601,11 @@
         }
     }
 
-    /** The client has left before the current request was answered. */
-    private void endUnanswered() {
-        answeredConnection.ended();
-        if (exchange != null) {
-            exchange.clientLeft();
-        }
-        if (traceId != null && exchange != null && exchange.mayStillRun()) {
-            requestIds.retain(traceId);
-        } else if (traceId != null) {
-            requestIds.release(traceId);
+    private void endRequestId() {
+        if (traceId != null) {
+            requestIds.requestEnded(traceId, exchange != null && exchange.mayStillRun(), answeredConnection);
+            traceId = null;
         }
-        traceId = null;
     }
 
     private static void abandonBody(PendingRequest request) {
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -222,8 +222,7 @@
 
     /** Sends a request, which it releases, whose body continues in {@code bodyRelay}; null where the message is whole.
         With a relay the timeout, in microseconds, applies to each phase: connecting, a host that accepts no more of the
-        body, and what follows once the whole body has been read from the client. Where the body waited for the
-        connection, the later phases share what is left. */
+        body, and what follows once the whole body has been read from the client: there the listener may shorten it. */
     Attempt send(String hostId, FullHttpRequest request, BodyRelay bodyRelay, long timeout, AttemptListener listener) {
         Attempt attempt = new Attempt(request, bodyRelay, timeout, listener);
         PooledHost host = hosts.get(hostId);
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -208,18 +208,17 @@
     /** The ids in a file of that folder, which is opened again if that fails for a moment; those of this process alone
         if it can't be used. */
     static RequestIds sharedRequestIds(String folder, LongSupplier steadyMicros, Consumer<String> logOutput) {
-        for (int tries = 1; tries <= REQUEST_ID_TRIES; tries++) {
+        for (int tries = 1; true; tries++) {
             try {
                 return RequestIds.shared(Path.of(folder), steadyMicros);
-            } catch (IOException e) {
-                logOutput.accept("request ids are not shared with another process yet: " + e);
+            } catch (IOException | InvalidPathException e) {
+                logOutput.accept("request ids are not shared with another process: " + e);
+                if (tries == REQUEST_ID_TRIES || e instanceof InvalidPathException) {
+                    return RequestIds.ofThisProcess(steadyMicros);
+                }
                 sleepBeforeRetry();
-            } catch (InvalidPathException e) {
-                logOutput.accept("request ids can't be shared with another process: " + e);
-                break;
             }
         }
-        return RequestIds.ofThisProcess(steadyMicros);
     }
 
     /** Waits for the first list from discovery, but no longer than the timeout, since discovery may be down. */
--- a/src/main/java/mastdrift/net/MetricsExposition.java
+++ b/src/main/java/mastdrift/net/MetricsExposition.java
@@ -1,5 +1,6 @@
 package mastdrift.net;
 
+import java.util.List;
 import java.util.Locale;
 
 /** Formats the metrics of a gateway in the Prometheus text format. */
@@ -8,6 +9,43 @@
     static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
     private static final String PREFIX = "edge_node_";
 
+    /** Counters that are exposed under their own names, in this order. */
+    private static final List<ExposedCounter> COUNTERS = List.of(
+            new ExposedCounter(GatewayMetrics.Counter.RELOADS_OK, "Configurations that were taken at SIGHUP."),
+            new ExposedCounter(GatewayMetrics.Counter.RELOADS_FAILED, "Configurations that were not taken at SIGHUP."),
+            new ExposedCounter(GatewayMetrics.Counter.ACCEPTS_FAILED, "Calls to accept that failed."),
+            new ExposedCounter(GatewayMetrics.Counter.HOST_DIALS_FAILED, "Connections to hosts that did not come up."),
+            new ExposedCounter(GatewayMetrics.Counter.WRITES_DEFERRED,
+                    "Writes that met a shortage of the system's and were made again."),
+            new ExposedCounter(GatewayMetrics.Counter.UNANSWERED,
+                    "Clients' connections that were ended with a request open."),
+            new ExposedCounter(GatewayMetrics.Counter.RESPONSES_STALLED,
+                    "Hosts' responses that paused before any of them was passed on."),
+            new ExposedCounter(GatewayMetrics.Counter.RESPONSES_CUT_OFF,
+                    "Hosts' responses that were given up after their start had been passed on."),
+            new ExposedCounter(GatewayMetrics.Counter.REFUSED_FOR_MEMORY,
+                    "Requests for whose body no memory became free."),
+            new ExposedCounter(GatewayMetrics.Counter.CLIENTS_UNVERIFIED,
+                    "Requests ended since their client may have left behind unread input."),
+            new ExposedCounter(GatewayMetrics.Counter.IDS_TAKEN, "Requests whose id was taken."),
+            new ExposedCounter(GatewayMetrics.Counter.DEPARTED, "Requests whose client went away first."),
+            new ExposedCounter(GatewayMetrics.Counter.LOOP_LATE, "Times that the event loop was late by over 0.15 s."),
+            new ExposedCounter(GatewayMetrics.Counter.LOOP_LATE_STARVED,
+                    "Of these: waiting for a core, most of the time."),
+            new ExposedCounter(GatewayMetrics.Counter.LOOP_LATE_BUSY, "Of these: at work, most of the time."),
+            new ExposedCounter(GatewayMetrics.Counter.LOOP_LATE_BLOCKED,
+                    "Of these: neither, as in a call that blocks or a pause."),
+            new ExposedCounter(GatewayMetrics.Counter.OFF_LOOP, "Callbacks on a wrong thread."),
+            new ExposedCounter(GatewayMetrics.Counter.LOG_LINES_DROPPED,
+                    "Lines of the log that its output did not take."));
+
+    private record ExposedCounter(GatewayMetrics.Counter counter, String help) {
+
+        private String name() {
+            return counter.name().toLowerCase(Locale.ROOT) + "_total";
+        }
+    }
+
     private MetricsExposition() { }
 
     static String format(GatewayMetrics metrics) {
@@ -28,45 +66,11 @@
                 metrics.gauge(GatewayMetrics.Gauge.HOSTS_KNOWN));
         appendMetric(text, "hosts_excluded", "gauge", "Hosts in the list that get nothing new now.",
                 metrics.gauge(GatewayMetrics.Gauge.HOSTS_EXCLUDED));
-        appendMetric(text, "reloads_ok_total", "counter", "Configurations that were taken at SIGHUP.",
-                metrics.count(GatewayMetrics.Counter.RELOADS_OK));
-        appendMetric(text, "reloads_failed_total", "counter", "Configurations that were not taken at SIGHUP.",
-                metrics.count(GatewayMetrics.Counter.RELOADS_FAILED));
-        appendCounter(text, metrics, GatewayMetrics.Counter.ACCEPTS_FAILED, "Calls to accept that failed.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.HOST_DIALS_FAILED,
-                "Connections to hosts that did not come up.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.WRITES_DEFERRED,
-                "Writes that met a shortage of the system's and were made again.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.UNANSWERED,
-                "Clients' connections that were ended with a request open.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.RESPONSES_STALLED,
-                "Hosts' responses that paused before any of them was passed on.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.RESPONSES_CUT_OFF,
-                "Hosts' responses that were given up after their start had been passed on.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.REFUSED_FOR_MEMORY,
-                "Requests for whose body no memory became free.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.CLIENTS_UNVERIFIED,
-                "Requests ended since their client may have left behind unread input.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.IDS_TAKEN, "Requests whose id was taken.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.DEPARTED, "Requests whose client went away first.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.LOOP_LATE,
-                "Times that the event loop was late by over 0.15 s.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.LOOP_LATE_STARVED,
-                "Of these: waiting for a core, most of the time.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.LOOP_LATE_BUSY, "Of these: at work, most of the time.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.LOOP_LATE_BLOCKED,
-                "Of these: neither, as in a call that blocks or a pause.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.OFF_LOOP, "Callbacks on a wrong thread.");
-        appendCounter(text, metrics, GatewayMetrics.Counter.LOG_LINES_DROPPED,
-                "Lines of the log that its output did not take.");
+        COUNTERS.forEach(counter -> appendMetric(text, counter.name(), "counter", counter.help,
+                metrics.count(counter.counter)));
         return text.toString();
     }
 
-    private static void appendCounter(StringBuilder text, GatewayMetrics metrics, GatewayMetrics.Counter counter,
-            String help) {
-        appendMetric(text, counter.name().toLowerCase(Locale.ROOT) + "_total", "counter", help, metrics.count(counter));
-    }
-
     private static void appendMetric(StringBuilder text, String name, String type, String help, long value) {
         appendHeader(text, name, type, help);
         text.append(PREFIX).append(name).append(' ').append(value).append('\n');
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -36,6 +36,7 @@
     private final BooleanSupplier disconnectRelevant;
     private final LongSupplier clock;
     private final ByteQueue buffers = new ByteQueue();
+    private final SendTimeEstimator sendTimes = new SendTimeEstimator();
     private ChannelHandlerContext context;
     private int countedBytes;  // what the pool counts for this connection
     private boolean paused;  // delivery is paused
@@ -47,8 +48,7 @@
     private long deliveryStartedAt;  // the first delivery of the current turn or a moment before, 0 if there is none
     private long deliveryMicros;  // what deliveries have taken since then
     private long lastReadAt;  // the last time that input arrived
-    private final SendTimeEstimator sendTimes = new SendTimeEstimator();
-    private boolean readScheduled;
+    private boolean readScheduled;  // in this turn of the loop
 
     /** The allocator for the channels of such connections: a turn of the loop reads until there is no more input, and
         so finds a disconnect that follows it. Both may have arrived if the loop was late. */
--- a/src/main/java/mastdrift/net/RequestIdClaims.java
+++ b/src/main/java/mastdrift/net/RequestIdClaims.java
@@ -65,21 +65,16 @@
         return open.add(id);
     }
 
-    /** The request has ended, and no host has received it. */
-    void release(String id) {
-        open.remove(id);
-        table.release(id);
-    }
-
-    /** The client has left without an answer, and a host may have received the request. */
-    void retain(String id) {
+    /** The request on that connection has ended, answered or not: its id stays taken if a host may have received it. */
+    void requestEnded(String id, boolean mayHaveRun, AnsweredConnection connection) {
         open.remove(id);
+        if (!mayHaveRun) {
+            table.release(id);
+            return;
+        }
         table.retain(id);
-    }
-
-    /** The request has been answered on that connection, and a host may have received it. */
-    void retainAnswered(String id, AnsweredConnection connection) {
-        retain(id);
-        answered.put(id, connection);
+        if (connection.client != null) {
+            answered.put(id, connection);
+        }
     }
 }
--- a/src/main/java/mastdrift/net/SendTimeEstimator.java
+++ b/src/main/java/mastdrift/net/SendTimeEstimator.java
@@ -14,7 +14,6 @@
     static final long MAX_UNREAD_BYTES = (4 << 20) + 2 * DownstreamServer.RECEIVE_BUFFER_BYTES;
     // Times of reading are kept for every so many bytes.
     private static final long HISTORY_STEP_BYTES = 256 << 10;
-
     // Input that was sent within this time counts as sent at its start: small pieces take no memory each.
     private static final long RESOLUTION_MICROS = 10_000;
 
@@ -38,6 +37,16 @@
         if (reads.isEmpty() || readPosition - reads.peekLast().position >= HISTORY_STEP_BYTES) {
             reads.add(new Mark(readPosition, now));
         }
+        forgetOldReads();
+    }
+
+    /** Keeps one mark that is further back than the buffers of the system reach. */
+    private void forgetOldReads() {
+        Mark first = reads.remove();
+        while (!reads.isEmpty() && reads.element().position <= readPosition - MAX_UNREAD_BYTES) {
+            first = reads.remove();
+        }
+        reads.addFirst(first);
     }
 
     /** A read has found no more input. Unless {@code reading} goes on, what comes after this time is not seen. */
@@ -101,9 +110,6 @@
         if (precedingPosition > readPosition) {
             return now;
         }
-        while (reads.size() > 1 && secondRead().position <= readPosition - MAX_UNREAD_BYTES) {
-            reads.remove();
-        }
         for (Mark mark : reads) {
             if (mark.position <= precedingPosition) {
                 sentAt = Math.max(sentAt, mark.time);
@@ -111,8 +117,4 @@
         }
         return sentAt;
     }
-
-    private Mark secondRead() {
-        return reads.stream().skip(1).findFirst().orElseThrow();
-    }
 }
