--- a/src/test/java/mastdrift/net/CrowdTest.java
+++ b/src/test/java/mastdrift/net/CrowdTest.java
@@ -4,9 +4,9 @@
 import static mastdrift.net.Loopback.discoveryServer;
 import static mastdrift.net.Loopback.hostEntry;
 import static mastdrift.net.Loopback.hostList;
-import static mastdrift.net.Loopback.post;
 import static mastdrift.net.Loopback.response;
 import static mastdrift.net.Loopback.write;
+import static mastdrift.net.PlainClients.request;
 import static mastdrift.net.RecordingHost.startThread;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -21,8 +21,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import mastdrift.net.Loopback.Server;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -32,14 +30,11 @@
     memory, and serves other clients in time. {@code -Dcrowd.seeds=1,2,3} plays further seeds by hand, {@code -Dcrowd.forms=HEADS.*} certain forms. */
 class CrowdTest {
 
-    private static final int SOCKETS = 1024;
+    private static final GatewayProcess.Limits LIMITS = new GatewayProcess.Limits(128, 1024);
     // Clients hold no more than a third of the descriptors.
     private static final int CROWD_CLIENTS = 340;
     private static final long MEMORY_LIMIT_MEGABYTES = 128;
     private static final int CROWD_SECONDS = 4;
-    private static final int DEADLINE_MILLIS = 2000;
-    // An answer up to half a second after its time is late, not lost.
-    private static final int LOST_AFTER_MILLIS = DEADLINE_MILLIS + 500;
     private static final int LONG_RESPONSE_BYTES = 400_000;
     private static final int HEAD_PIECE_BYTES = 18;  // of a head of 7 kB, which takes 2 s in all
 
@@ -168,68 +163,6 @@
         startThread(() -> GatewayProcess.discard(socket.getInputStream()));
     }
 
-    /** A request with an id of its own; a negative length is a body in chunks. The body is not part of it. */
-    private static String request(int client, int number, int length, String fields) {
-        String id = "c" + client + "n" + number;
-        return post("start", DEADLINE_MILLIS, "").replace("9b1f", id).replace("5c0f", "key" + id)
-                .replace("7f3a", "object" + id).replace("Content-Length: 0", fields
-                + (length < 0 ? "Transfer-Encoding: chunked" : "Content-Length: " + length));
-    }
-
-    /** Other clients, which send a small request each 50 ms. */
-    private static final class OtherClients {
-
-        private static final int CLIENTS = 5;
-
-        private final AtomicInteger served = new AtomicInteger();
-        private final AtomicInteger answered = new AtomicInteger();
-        private final AtomicInteger lost = new AtomicInteger();
-        private final AtomicLong slowestMillis = new AtomicLong();
-        private volatile boolean ended;
-        private final List<Thread> threads = new ArrayList<>();
-
-        OtherClients(GatewayProcess gateway) {
-            for (int i = 0; i < CLIENTS; i++) {
-                int client = 100_000 + i;
-                threads.add(startThread(() -> run(gateway, client)));
-            }
-        }
-
-        private void run(GatewayProcess gateway, int client) throws Exception {
-            int number = 0;
-            while (!ended) {
-                try (Socket socket = gateway.connect(LOST_AFTER_MILLIS)) {
-                    while (!ended && sendOne(socket, request(client, number++, 2, "") + "ok")) {
-                        sleep(50);
-                    }
-                } catch (IOException notConnected) {
-                    lost.incrementAndGet();
-                }
-            }
-        }
-
-        private boolean sendOne(Socket socket, String request) throws IOException {
-            long startedAt = System.nanoTime();
-            write(socket, request);
-            Loopback.Message answer = Loopback.read(socket);
-            slowestMillis.accumulateAndGet((System.nanoTime() - startedAt) / 1_000_000, Math::max);
-            if (answer == null) {
-                lost.incrementAndGet();
-                return false;
-            }
-            answered.incrementAndGet();
-            served.addAndGet(answer.status() == 200 ? 1 : 0);
-            return !"close".equals(answer.header("Connection"));
-        }
-
-        void end() throws InterruptedException {
-            ended = true;
-            for (Thread thread : threads) {
-                thread.join();
-            }
-        }
-    }
-
     private static Server host() throws IOException {
         String longBody = "x".repeat(LONG_RESPONSE_BYTES);
         return new Server(message -> write(message.socket(), message.startLine().contains("/api/long")
@@ -260,8 +193,8 @@
         try (Server discovery = discoveryServer(); Server one = host(); Server two = host(); Server three = host();
                 GatewayProcess gateway = new GatewayProcess(folder, discovery, hostList(1, true,
                         hostEntry("s1", one.address(), "a", "in_service"), hostEntry("s2", two.address(), "a", "in_service"),
-                        hostEntry("s3", three.address(), "b", "in_service")), settings, SOCKETS)) {
-            OtherClients others = new OtherClients(gateway);
+                        hostEntry("s3", three.address(), "b", "in_service")), settings, LIMITS)) {
+            PlainClients others = new PlainClients(gateway);
             sleep(500);
             Random random = new Random(seed);
             for (int client = 0; client < form.clients; client++) {
@@ -281,13 +214,12 @@
             boolean alive = gateway.isAlive();
             long peak = alive ? gateway.peakMegabytes() : -1;
             System.out.println("crowd: " + form + " seed " + seed + ": alive " + alive + ", peak " + peak + " of "
-                    + MEMORY_LIMIT_MEGABYTES + " MB, others answered " + others.answered + " (served " + others.served
-                    + "), lost " + others.lost + ", slowest " + others.slowestMillis + " ms");
+                    + MEMORY_LIMIT_MEGABYTES + " MB, others: " + others.summary());
             String log = gateway.log();
             assertTrue(alive, log);
             assertTrue(peak < MEMORY_LIMIT_MEGABYTES, "peak of " + peak + " MB");
-            assertEquals(0, others.lost.get(), log.substring(Math.max(0, log.length() - 2000)));
-            assertTrue(others.slowestMillis.get() < LOST_AFTER_MILLIS, "slowest " + others.slowestMillis);
+            assertEquals(0, others.lost(), log.substring(Math.max(0, log.length() - 2000)));
+            assertTrue(others.slowestMillis() < PlainClients.LOST_AFTER_MILLIS, "slowest " + others.slowestMillis());
             assertTrue(!log.contains("OutOfMemoryError"), log);
         } finally {
             synchronized (sockets) {
--- a/src/test/java/mastdrift/net/GatewayProcess.java
+++ b/src/test/java/mastdrift/net/GatewayProcess.java
@@ -9,20 +9,19 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
-/** A gateway in a process of its own, with the options of the deploy file's {@code run} for the virtual machine, so
-    that its limits of memory hold. Hosts and discovery stay in the test's process. */
+/** A gateway in a process of its own, started by the deploy file's {@code run}, so that its limits of memory hold. Hosts
+    and discovery stay in the test's process. */
 final class GatewayProcess implements AutoCloseable {
 
     private static final int START_TRIES = 300;
     private static final int RETRY_MILLIS = 50;
-    private static final Pattern OPTION = Pattern.compile(" (-X[^ ]+|-D(?!java\\.io\\.tmpdir)[^ ]+)");
+    private static final int KIBIBYTES_PER_MEGABYTE = 1024;
+
+    /** The limits in a gateway's settings. */
+    record Limits(int memoryMegabytes, int sockets) { }
 
     private final int port;
     private final int adminPort;
@@ -30,29 +29,46 @@
     private final ProcessHandle process;
 
     /** Starts a gateway and waits until it is ready; {@code folder} takes its configuration and its log. */
-    GatewayProcess(Path folder, Loopback.Server discovery, String knownList, String settings, int sockets)
+    GatewayProcess(Path folder, Loopback.Server discovery, String knownList, String settings, Limits limits)
             throws Exception {
-        this(folder, "gateway", null, discovery, knownList, settings, sockets);
+        this(folder, "gateway", null, discovery, knownList, settings, limits);
     }
 
     /** Starts a gateway of that name behind a listening socket that it inherits, or one that listens itself if
         {@code socket} is null, and waits until it is ready. */
     GatewayProcess(Path folder, String name, PassedSocket socket, Loopback.Server discovery, String knownList,
-            String settings, int sockets) throws Exception {
+            String settings, Limits limits) throws Exception {
+        this(folder, name, socket, discovery, knownList, settings, limits, true);
+    }
+
+    private GatewayProcess(Path folder, String name, PassedSocket socket, Loopback.Server discovery, String knownList,
+            String settings, Limits limits, boolean awaitReady) throws Exception {
         port = socket == null ? freePort() : socket.port();
         adminPort = freePort();
         log = folder.resolve(name + ".log");
         Path config = folder.resolve(name + ".json");
         Files.writeString(config, "{\"name\":\"" + name + "\",\"seed\":\"8c1f30d27a5be964\",\"listen\":\"127.0.0.1:" + port
                 + "\",\"admin\":\"127.0.0.1:" + adminPort + "\",\"discovery\":\"" + discovery.address()
-                + "\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + knownList + ",\"settings\":" + settings + "}");
-        String command = "exec env NODE_CONFIG=" + config + " TMPDIR=" + folder
-                + (socket == null ? "" : " NODE_PASSED_SOCKET=0") + " " + Path.of(System.getProperty("java.home"), "bin", "java")
-                + " " + String.join(" ", deployOptions()) + " -cp " + System.getProperty("java.class.path")
-                + " mastdrift.net.Main > " + log + " 2>&1";
+                + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + limits.memoryMegabytes + ",\"sockets\":" + limits.sockets
+                + "},\"known\":" + knownList + ",\"settings\":" + settings + "}");
+        String command = GatewayInstallation.pathWithJava() + "export NODE_CONFIG=" + config + " TMPDIR=" + folder
+                + (socket == null ? "" : " NODE_PASSED_SOCKET=0") + "; " + GatewayInstallation.runCommand() + " > " + log
+                + " 2>&1";
         process = socket == null ? new ProcessBuilder("/bin/sh", "-c", command)
                 .redirectInput(new File("/dev/null")).start().toHandle() : socket.start(command);
-        awaitReady();
+        if (awaitReady) {
+            awaitReady();
+        }
+    }
+
+    /** Starts a successor behind the same socket, whose memory is sampled from its start on, and waits until it is
+        ready. */
+    static GatewayProcess successor(Path folder, String name, PassedSocket socket, Loopback.Server discovery,
+            String knownList, String settings, Limits limits, MemoryMeter meter) throws Exception {
+        GatewayProcess successor = new GatewayProcess(folder, name, socket, discovery, knownList, settings, limits, false);
+        meter.add(successor);
+        successor.awaitReady();
+        return successor;
     }
 
     static int freePort() throws IOException {
@@ -61,25 +77,12 @@
         }
     }
 
-    /** The virtual machine's options in the deploy file, but for the archive of classes, which the tests don't build. */
-    private static List<String> deployOptions() throws IOException {
-        String run = Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
-                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
-        List<String> options = new ArrayList<>();
-        for (Matcher option = OPTION.matcher(run); option.find(); ) {
-            if (!option.group(1).contains("Shared") && !option.group(1).contains("share:")) {
-                options.add(option.group(1));
-            }
-        }
-        return options;
-    }
-
     private void awaitReady() throws Exception {
         for (int tries = 0; tries < START_TRIES; tries++) {
             if (!process.isAlive()) {
                 throw new IllegalStateException("the gateway ended at its start: " + log());
             }
-            try (Socket socket = connect(adminPort, 1000)) {
+            try (Socket socket = connect(adminPort, 1000, 0)) {
                 Loopback.write(socket, "GET /status HTTP/1.1\r\nHost: s\r\n\r\n");
                 Loopback.Message answer = Loopback.read(socket);
                 if (answer != null && answer.status() == 200) {
@@ -94,12 +97,20 @@
 
     /** Connects as a client. */
     Socket connect(int timeoutMillis) throws IOException {
-        return connect(port, timeoutMillis);
+        return connect(port, timeoutMillis, 0);
+    }
+
+    /** Connects as a client whose system holds about that much of what it has not read; 0 for the system's default. */
+    Socket connect(int timeoutMillis, int receiveBufferBytes) throws IOException {
+        return connect(port, timeoutMillis, receiveBufferBytes);
     }
 
-    private static Socket connect(int port, int timeoutMillis) throws IOException {
+    private static Socket connect(int port, int timeoutMillis, int receiveBufferBytes) throws IOException {
         Socket socket = new Socket();
         try {
+            if (receiveBufferBytes > 0) {
+                socket.setReceiveBufferSize(receiveBufferBytes);
+            }
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress("127.0.0.1", port), timeoutMillis);
             socket.setSoTimeout(timeoutMillis);
@@ -120,12 +131,21 @@
 
     /** The most memory that the process has had resident, in megabytes. */
     long peakMegabytes() throws IOException {
-        for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
-            if (line.startsWith("VmHWM:")) {
-                return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024;
+        return kibibytes("status", "VmHWM:") / KIBIBYTES_PER_MEGABYTE;
+    }
+
+    /** The memory that the process has resident, in kibibytes. */
+    long residentKibibytes() throws IOException {
+        return kibibytes("status", "VmRSS:");
+    }
+
+    private long kibibytes(String file, String key) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), file))) {
+            if (line.startsWith(key)) {
+                return Long.parseLong(line.replaceAll("[^0-9]", ""));
             }
         }
-        throw new IOException("no VmHWM");
+        throw new IOException("no " + key);
     }
 
     /** Sends SIGTERM, and SIGKILL that much later if the process still runs. Returns once it has ended. */
--- /dev/null
+++ b/src/test/java/mastdrift/net/PlainClients.java
@@ -0,0 +1,128 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.post;
+import static mastdrift.net.Loopback.write;
+import static mastdrift.net.RecordingHost.startThread;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Clients that do nothing unusual: each sends one small request every 50 ms on a kept connection. Counts what became of
+    the requests. */
+final class PlainClients {
+
+    static final int DEADLINE_MILLIS = 2000;
+    // An answer up to half a second after its time is late, not lost.
+    static final int LOST_AFTER_MILLIS = DEADLINE_MILLIS + 500;
+    private static final int CLIENTS = 5;
+    private static final int PAUSE_MILLIS = 50;
+    private static final int FIRST_NUMBER = 100_000;
+    private static final int OK = 200;
+
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger closedOnKept = new AtomicInteger();
+    private final AtomicLong slowestMillis = new AtomicLong();
+    private final Map<Integer, AtomicInteger> statuses = new ConcurrentHashMap<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private volatile boolean ended;
+
+    /** Starts clients of that gateway. */
+    PlainClients(GatewayProcess gateway) {
+        for (int i = 0; i < CLIENTS; i++) {
+            int client = FIRST_NUMBER + i;
+            threads.add(startThread(() -> run(gateway, client)));
+        }
+    }
+
+    /** A request with an id of its own; a negative length is a body in chunks. The body is not part of it. */
+    static String request(int client, int number, int length, String fields) {
+        String id = "c" + client + "n" + number;
+        return post("start", DEADLINE_MILLIS, "").replace("9b1f", id).replace("5c0f", "key" + id)
+                .replace("7f3a", "object" + id).replace("Content-Length: 0", fields
+                + (length < 0 ? "Transfer-Encoding: chunked" : "Content-Length: " + length));
+    }
+
+    private void run(GatewayProcess gateway, int client) throws Exception {
+        int number = 0;
+        while (!ended) {
+            try (Socket socket = gateway.connect(LOST_AFTER_MILLIS)) {
+                boolean first = true;
+                while (!ended && sendOne(socket, request(client, number++, 2, "") + "ok", first)) {
+                    first = false;
+                    TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+                }
+            } catch (IOException notConnected) {
+                lost.incrementAndGet();
+            }
+        }
+    }
+
+    /** Sends a request and reads its answer; whether the connection goes on. */
+    private boolean sendOne(Socket socket, String request, boolean first) {
+        long startedAt = System.nanoTime();
+        Loopback.Message answer = null;
+        try {
+            write(socket, request);
+            answer = Loopback.read(socket);
+        } catch (IOException closed) {
+            answer = null;
+        }
+        long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
+        if (answer == null) {
+            lost.incrementAndGet();
+            closedOnKept.addAndGet(!first && tookMillis < LOST_AFTER_MILLIS ? 1 : 0);
+            return false;
+        }
+        slowestMillis.accumulateAndGet(tookMillis, Math::max);
+        answered.incrementAndGet();
+        statuses.computeIfAbsent(answer.status(), each -> new AtomicInteger()).incrementAndGet();
+        return !"close".equals(answer.header("Connection"));
+    }
+
+    /** Ends the clients and waits for them. */
+    void end() throws InterruptedException {
+        ended = true;
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    /** Requests that got no answer in time, or whose connection was closed. */
+    int lost() {
+        return lost.get();
+    }
+
+    /** Those lost that may not have been read: their connection had been idle, and a gateway may close such a one. */
+    int closedOnKept() {
+        return closedOnKept.get();
+    }
+
+    /** The time that the slowest answer took. */
+    long slowestMillis() {
+        return slowestMillis.get();
+    }
+
+    /** Requests that were answered with that status. */
+    int answeredWith(int status) {
+        return statuses.getOrDefault(status, new AtomicInteger()).get();
+    }
+
+    /** What became of the requests, in a few words. */
+    String summary() {
+        return "answered " + answered + " " + new TreeMap<>(statuses) + ", lost " + lost + " (" + closedOnKept
+                + " as a kept connection was closed), slowest " + slowestMillis + " ms";
+    }
+
+    int served() {
+        return answeredWith(OK);
+    }
+}
