Go on with the log after a line for which there is no memory

Where the heap was full for a moment, the log of a gateway ended: the writer's thread ended with the first line that could not be encoded (seen beside heads of long fields: OutOfMemoryError in thread log-writer, and no line after it). Such a line is dropped and counted now, as one is that the output does not take.

LogWriterTest.goesOnAfterALineForWhichThereIsNoMemory failed before (nothing is flushed any more) and holds now.

--- a/src/main/java/mastdrift/net/LogWriter.java
+++ b/src/main/java/mastdrift/net/LogWriter.java
@@ -96,7 +96,7 @@
             if (entry == null) {
                 LockSupport.park(this);
             } else if (entry.line != null) {
-                writeLine(entry.line);
+                writeLineIfPossible(entry.line);
                 queuedChars.addAndGet(-entry.chars());
             } else {
                 entry.reached.countDown();
@@ -114,6 +114,15 @@
         }
     }
 
+    /** Writes a line, or drops it if there is no memory for that: the lines after it are written. */
+    private void writeLineIfPossible(String line) {
+        try {
+            writeLine(line);
+        } catch (OutOfMemoryError noMemory) {
+            drop();
+        }
+    }
+
     private boolean write(String line) {
         ByteBuffer bytes = StandardCharsets.UTF_8.encode((incompleteLine ? "\n" : "") + line + "\n");
         try {
--- a/src/test/java/mastdrift/net/LogWriterTest.java
+++ b/src/test/java/mastdrift/net/LogWriterTest.java
@@ -57,6 +57,23 @@
         return written.toString(StandardCharsets.UTF_8).lines().toList();
     }
 
+    /** Guards against a log that ends with the first line for which there is no memory. */
+    @Test
+    void goesOnAfterALineForWhichThereIsNoMemory() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        LogWriter writer = writer(bytes -> {
+            if (calls.getAndIncrement() == 0) {
+                throw new OutOfMemoryError("on purpose");
+            }
+            return writePart(bytes, Integer.MAX_VALUE);
+        });
+        writer.accept("first");
+        writer.accept("second");
+        assertTrue(writer.flush(Loopback.WAIT_SECONDS * 1000L));
+        assertEquals(1, dropped.get());
+        assertEquals("second", lines().get(lines().size() - 1));
+    }
+
     /** Guards against callers that are blocked by the output, and against queued lines that use up the memory
         meanwhile. */
     @Test
