Remember answered ids by their hashes, whatever their length

Up to 4,096 answered ids were kept as text. An id may have as many characters as a head has bytes, so that clients with long ids could fill 28 MB of the heap. The ids' hashes are kept instead, by which the table of ids knows them already.

--- a/src/main/java/mastdrift/net/RequestIdClaims.java
+++ b/src/main/java/mastdrift/net/RequestIdClaims.java
@@ -35,11 +35,12 @@
 
     private final RequestIds table;
     private final Set<String> open = new HashSet<>();
-    private final Map<String, AnsweredConnection> answered = new LinkedHashMap<>() {
+    // By the hashes of the ids, which may have thousands of characters.
+    private final Map<Long, AnsweredConnection> answered = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, AnsweredConnection> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Long, AnsweredConnection> eldest) {
             return size() > MAX_ANSWERED;
         }
     };
@@ -54,14 +55,14 @@
         if (open.contains(id)) {
             return false;
         }
-        AnsweredConnection connection = answered.get(id);
+        AnsweredConnection connection = answered.get(RequestIds.hash(id));
         if (connection != null && (connection == own || connection.isClientConnected())) {
             table.release(id);
         }
         if (!table.claim(id)) {
             return false;
         }
-        answered.remove(id);
+        answered.remove(RequestIds.hash(id));
         return open.add(id);
     }
 
@@ -74,7 +75,7 @@
         }
         table.retain(id);
         if (connection.client != null) {
-            answered.put(id, connection);
+            answered.put(RequestIds.hash(id), connection);
         }
     }
 }
--- a/src/main/java/mastdrift/net/RequestIds.java
+++ b/src/main/java/mastdrift/net/RequestIds.java
@@ -137,7 +137,8 @@
         return value == 0 ? TIME_MASK + 1 : tick() - (value & TIME_MASK) & TIME_MASK;
     }
 
-    private static long hash(String id) {
+    /** A number that stands for the id. */
+    static long hash(String id) {
         long hash = 0xCBF29CE484222325L;  // FNV-1a
         for (int i = 0; i < id.length(); i++) {
             hash = (hash ^ id.charAt(i)) * 0x100000001B3L;
