Tell the memory of the process in the log; allocate buffers in small chunks

The log's counts have buffers_kib (allocated for messages), heap_kib and resident_kib beside it now, the highest since the line before.

The buffers of all connections come from one arena of 256 KiB chunks without caches, so that their sum can be read and chunks that are not in use go back.

--- a/src/main/java/mastdrift/net/DiscoveryClient.java
+++ b/src/main/java/mastdrift/net/DiscoveryClient.java
@@ -114,6 +114,7 @@
 
     private Channel sendRequest(String path, boolean watching) {
         Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(TcpChannel::new)
+                .option(ChannelOption.ALLOCATOR, MessageBuffers.ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         addressChangedRecently() ? ADDRESS_CHANGE_CONNECT_TIMEOUT_MILLIS : CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -156,6 +156,7 @@
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap().group(loop)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                .childOption(ChannelOption.ALLOCATOR, MessageBuffers.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
@@ -246,7 +247,7 @@
     private void sweep() {
         LoopMonitor monitor = gateway.loopMonitor();
         monitor.check();
-        gateway.metrics().recordPeak(GatewayMetrics.Peak.HELD_KIB, memory.usedKibibytes());
+        gateway.recordMemory();
         long now = monitor.taskStarted();
         if (serverChannel != null) {
             serverChannel.pollUnlessNotified();
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -203,6 +203,7 @@
     private final EventLog log;
     private final LoopMonitor loopMonitor;
     private final MessageMemory memory = new MessageMemory();
+    private final ProcessMemory processMemory = new ProcessMemory();
     private final int maxOpenRequests;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final Queue<Runnable> pendingEvents = new ArrayDeque<>();
@@ -228,7 +229,10 @@
         this.logOutput = logOutput;
         log = new EventLog(this::now, this::log);
         ThreadTimes times = new ThreadTimes();
-        loop.parent().terminationFuture().addListener(ended -> times.close());
+        loop.parent().terminationFuture().addListener(ended -> {
+            times.close();
+            processMemory.close();
+        });
         loopMonitor = new LoopMonitor(this::now, times::read, metrics, log);
         hostStarts = new HostStartTimes(this::now, () -> System.currentTimeMillis() * 1000,
                 () -> log.add(EventLog.Event.CLOCK_STEPPED, "unix_ms", System.currentTimeMillis(), "steady_ms",
@@ -274,6 +278,12 @@
         return memory;
     }
 
+    /** Notes how much memory is held, and how much the process has. */
+    void recordMemory() {
+        metrics.recordPeak(GatewayMetrics.Peak.HELD_KIB, memory.usedKibibytes());
+        processMemory.recordPeaks(metrics);
+    }
+
     /** Measures how long the event loop's tasks take. */
     LoopMonitor loopMonitor() {
         return loopMonitor;
--- a/src/main/java/mastdrift/net/GatewayMetrics.java
+++ b/src/main/java/mastdrift/net/GatewayMetrics.java
@@ -34,8 +34,9 @@
     /** How a request ended whose client was still connected. */
     enum RequestOutcome { SERVED, REFUSED, FAILED }
 
-    /** Values whose peak since the last log line is kept. */
-    enum Peak { OPEN_REQUESTS, CLIENT_CONNECTIONS, HOST_CONNECTIONS, HELD_KIB }
+    /** Values whose peak since the last log line is kept. HELD_KIB is what the pools for messages count, BUFFERS_KIB what
+        is allocated for them; HEAP_KIB includes garbage. */
+    enum Peak { OPEN_REQUESTS, CLIENT_CONNECTIONS, HOST_CONNECTIONS, HELD_KIB, BUFFERS_KIB, HEAP_KIB, RESIDENT_KIB }
 
     /** Current values. */
     enum Gauge { IN_FLIGHT, HOSTS_KNOWN, HOSTS_EXCLUDED }
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -149,6 +149,7 @@
         this.log = log;
         idleTimeout = (long) (hostIdleTimeout * IDLE_TIMEOUT_FRACTION);
         bootstrap = new Bootstrap().group(loop).channelFactory(TcpChannel::new)
+                .option(ChannelOption.ALLOCATOR, MessageBuffers.ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FairReadAllocator(clock))
--- a/src/main/java/mastdrift/net/WarmUp.java
+++ b/src/main/java/mastdrift/net/WarmUp.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -59,6 +60,7 @@
         InetSocketAddress anyPort = new InetSocketAddress(config.listenAddress().getAddress(), 0);
         try {
             Channel hostStub = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                    .childOption(ChannelOption.ALLOCATOR, MessageBuffers.ALLOCATOR)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
