Count all that is held for messages until it is released or written

What a pool counted ended where the memory did not: 18 MB counted, 50 MB of direct memory.

Not counted, and now counted: output that a channel has not written (up to 32 KiB each way, 64 KiB for a whole answer); a request's body while an attempt is writing it and its client has left; heads and small bodies of requests that wait; input that the decoders hold, with the 16 KiB buffers of which it is a part. Counted and not bounded, and now bounded: input of clients that are being read; answers with a length of up to 64 KiB, which are passed on as they come once their pool is exhausted.

--- a/src/main/java/mastdrift/net/BodyRelay.java
+++ b/src/main/java/mastdrift/net/BodyRelay.java
@@ -7,24 +7,25 @@
 import java.util.function.Consumer;
 
 /** Passes the rest of a body from the connection that reads it to the one that writes it, in bounded memory: reading
-    pauses while the relay is full, and writing while the target channel is not writable. The relay of a request holds
-    more while memory is ample: the end of the body, from which the time for its response runs, is seen only once it is
-    read. What one turn of the event loop has read is written together, so that the pieces in which a body comes cost no
-    system call each. Used on one event loop's thread. */
+    pauses while the relay is full, and writing while the target channel is not writable or has not written enough of
+    what it was given. The relay of a request holds more while memory is ample: the end of the body, from which the time
+    for its response runs, is seen only once it is read. What one turn of the event loop has read is written together, so
+    that the pieces in which a body comes cost no system call each. Used on one event loop's thread. */
 final class BodyRelay {
 
     /** The limit of a response's relay, and of each while memory is not ample. A single read may exceed it. */
     static final int MAX_BUFFERED_BYTES = 32 << 10;
     /** The limit of a request's relay. */
     static final int MAX_UPLOAD_BYTES = 1 << 20;
-    // The limit while the pool is exhausted, so that each body still goes on.
+    // The limit while the pool is exhausted, so that each body still goes on; of what the channel holds as well.
     private static final int RESERVED_BYTES = 4 << 10;
 
     private final MemoryPool pool;
     private final int maxBytes;
     private final ByteQueue buffered = new ByteQueue();
     private boolean full;
-    private long countedBytes;  // what the pool counts for this relay
+    private final MemoryPool.Holding holding;
+    private long unwrittenBytes;  // given to the target channel, which has not written them
     private boolean complete;
     private boolean failed;
     private boolean abandoned;
@@ -37,13 +38,12 @@
     /** What the relay holds is counted in the pool, and is about {@code maxBytes} at the most. */
     BodyRelay(MemoryPool pool, int maxBytes) {
         this.pool = pool;
+        holding = pool.newHolding();
         this.maxBytes = maxBytes;
     }
 
     private void updateHeld() {
-        long held = buffered.heldBytes();
-        pool.add(held - countedBytes);
-        countedBytes = held;
+        holding.set(buffered.heldBytes());
         full = buffered.readableBytes() >= limit();
     }
 
@@ -117,6 +117,12 @@
 
     // ---- the writing side
 
+    /** Writes the part of the body that is ahead of the relay's, and releases it; {@link #writeTo} follows. */
+    void writeAhead(Channel channel, ByteBuf part) {
+        write(channel, part);
+        channel.flush();
+    }
+
     /** Writes what is buffered and what is added later; {@code listener} is told once whether all has been written. */
     void writeTo(Channel channel, Consumer<Boolean> listener) {
         target = channel;
@@ -137,10 +143,9 @@
         }
         boolean wasFull = isFull();
         writing = true;
-        for (Channel channel = target; channel != null && channel.isWritable() && !buffered.isEmpty();
-                channel = target) {
-            while (channel.isWritable() && !buffered.isEmpty()) {
-                channel.write(new DefaultHttpContent(buffered.poll()));
+        for (Channel channel = target; channel != null && mayWrite(channel); channel = target) {
+            while (mayWrite(channel)) {
+                write(channel, buffered.poll());
             }
             channel.flush();  // may make the channel writable again, or close it and abandon this relay
         }
@@ -150,14 +155,37 @@
             onFullChange.run();
         }
         if (target != null && buffered.isEmpty() && isFinished()) {
-            Channel last = target;
-            target = null;
-            if (failed) {
-                onWritten.accept(false);
-            } else {
-                last.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                        .addListener(written -> onWritten.accept(written.isSuccess()));
-            }
+            writeEnd();
+        }
+    }
+
+    private boolean mayWrite(Channel channel) {
+        boolean hasRoom = unwrittenBytes < RESERVED_BYTES || !pool.isExhausted();
+        return hasRoom && channel.isWritable() && !buffered.isEmpty();
+    }
+
+    /** Writes a part, which counts until the channel has written it. */
+    private void write(Channel channel, ByteBuf part) {
+        int bytes = part.capacity();
+        unwrittenBytes += bytes;
+        pool.write(channel, new DefaultHttpContent(part), bytes).addListener(written -> partWritten(bytes));
+    }
+
+    private void partWritten(int bytes) {
+        unwrittenBytes -= bytes;
+        if (!writing && !buffered.isEmpty()) {
+            resumeWriting();
+        }
+    }
+
+    private void writeEnd() {
+        Channel last = target;
+        target = null;
+        if (failed) {
+            onWritten.accept(false);
+        } else {
+            last.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                    .addListener(written -> onWritten.accept(written.isSuccess()));
         }
     }
 
--- a/src/main/java/mastdrift/net/ByteQueue.java
+++ b/src/main/java/mastdrift/net/ByteQueue.java
@@ -70,15 +70,21 @@
         return first;
     }
 
-    /** Removes the first buffer, or a slice of it if it has more bytes than that; null if the queue is empty. The
-        caller releases what it gets. */
+    /** Removes the first buffer if it is not much larger than that many bytes, and otherwise a copy of so many of its
+        bytes: whoever keeps a part does not keep the whole. Null if the queue is empty. The caller releases what it
+        gets. */
     ByteBuf poll(int maxBytes) {
         ByteBuf first = buffers.peek();
-        if (first == null || first.readableBytes() <= maxBytes) {
+        if (first == null || first.readableBytes() <= maxBytes && first.capacity() <= 2 * maxBytes) {
             return poll();
         }
-        readableBytes -= maxBytes;
-        return first.readRetainedSlice(maxBytes);
+        int bytes = Math.min(maxBytes, first.readableBytes());
+        ByteBuf part = first.alloc().buffer(bytes).writeBytes(first, bytes);
+        readableBytes -= bytes;
+        if (!first.isReadable()) {
+            poll().release();
+        }
+        return part;
     }
 
     boolean isEmpty() {
--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -45,8 +44,6 @@
     private static final int MAX_PIPELINED_REQUESTS = 8;
     // Requests of one connection that are open or wait hold so much, and one more; further input waits undecoded.
     private static final long MAX_DECODED_BYTES = 32 << 10;
-    // What a request's head, its objects and its place in the queue take at least.
-    private static final long REQUEST_OVERHEAD_BYTES = 2 << 10;
     // A request that waits for memory so long after it was sent is refused: its client's time is running.
     private static final long MEMORY_TIMEOUT_MICROS = 500_000;
     // A connection that is closed gracefully reads and discards input for this long, unless its client closes before.
@@ -69,26 +66,18 @@
 
         private final FullHttpRequest request;
         private final BodyRelay bodyRelay;  // null if the request was complete when it was passed on
-        private final MemoryPool.Reservation memory;
-        private final long heldBytes;  // overhead included
+        private final RequestMemory memory;
         private long sentAt;  // the earliest time at which its last byte may have been sent, 0 until that has arrived
 
-        private PendingRequest(MessageAggregator.AggregatedMessage message) {
+        private PendingRequest(MessageAggregator.AggregatedMessage message, MessageMemory pools) {
             request = (FullHttpRequest) message.message();
             bodyRelay = message.bodyRelay();
-            memory = message.memory();
-            heldBytes = REQUEST_OVERHEAD_BYTES + request.content().capacity();
-        }
-
-        private void releaseMemory() {
-            if (memory != null) {
-                memory.release();
-            }
+            memory = new RequestMemory(request, message.memory(), pools);
         }
 
         /** Releases a request that is not going to be handled. */
         private void discard() {
-            releaseMemory();
+            memory.release();
             request.release();
             if (bodyRelay != null) {
                 bodyRelay.abandon();
@@ -114,6 +103,11 @@
         boolean hasPartialInput() {
             return actualReadableBytes() > 0;
         }
+
+        /** The memory that those bytes take. */
+        int heldBytes() {
+            return hasPartialInput() ? internalBuffer().capacity() : 0;
+        }
     }
 
 
@@ -164,10 +158,11 @@
     }
 
     /** Pauses reading while enough requests are held, the relay of the incoming body is full, or the request that is
-        being read waits for memory. */
+        being read waits for memory. While memory is short, each connection is read for one request at a time. */
     private void updateReadPause() {
-        boolean hasRoom = incoming != null ? !incoming.bodyRelay.isFull()
-                : pendingRequests.size() <= MAX_PIPELINED_REQUESTS && decodedBytes < MAX_DECODED_BYTES;
+        boolean mayHoldMore = pendingRequests.size() <= MAX_PIPELINED_REQUESTS && decodedBytes < MAX_DECODED_BYTES
+                && (decodedBytes == 0 || !gateway.memory().isShortForRequests());
+        boolean hasRoom = incoming != null ? !incoming.bodyRelay.isFull() : mayHoldMore;
         boolean mayRead = hasRoom && !awaitingMemory;
         if (readTimer.setPaused(!mayRead, gateway.now())) {
             readAhead.setPaused(!mayRead);
@@ -211,6 +206,7 @@
         if (outputShutDown) {
             return;  // a timer closes it
         }
+        updateReadPause();
         readAhead.updateAutoRead();
         readAhead.readUnlessNotified();
         if (!isSendingRequest() && current == null && now - idleSince > idleTimeout) {
@@ -241,7 +237,7 @@
     private void discardPending() {
         pendingRequests.forEach(PendingRequest::discard);
         pendingRequests.clear();
-        decodedBytes = current == null ? 0 : current.heldBytes;
+        decodedBytes = current == null ? 0 : current.memory.heldBytes();
     }
 
     /** Closes the connection at once, for a reason other than the client's. */
@@ -273,7 +269,7 @@
         }
         endRequestId();
         if (current != null) {
-            current.releaseMemory();
+            current.memory.release();
             abandonBody(current);
         }
         if (outgoingBody != null) {
@@ -285,12 +281,12 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, MessageAggregator.AggregatedMessage part) {
         if (outputShutDown) {  // decoded from the same read as the request that ended the connection
-            new PendingRequest(part).discard();
+            new PendingRequest(part, gateway.memory()).discard();
             return;
         }
         requestRead = true;
         connections.requestReceived(this);
-        PendingRequest read = new PendingRequest(part);
+        PendingRequest read = new PendingRequest(part, gateway.memory());
         if (read.bodyRelay == null) {
             incoming = null;
             continueExpected = false;
@@ -302,7 +298,7 @@
             read.bodyRelay.onFullChange(this::updateReadPause);
         }
         pendingRequests.add(read);
-        decodedBytes += read.heldBytes;
+        decodedBytes += read.memory.heldBytes();
         updateReadPause();
         if (current == null) {
             startNextRequest();
@@ -313,6 +309,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         readTimer.dataReceived(gateway.now());
+        readAhead.setUndecodedBytes(decoder.heldBytes());
         if (incoming != null && incoming.bodyRelay.isFinished()) {
             boolean complete = incoming.bodyRelay.isComplete();
             incoming = null;
@@ -462,7 +459,7 @@
             return;
         }
         traceId = parsed.traceId();
-        Gateway.Exchange accepted = gateway.submit(this, request, current.bodyRelay, parsed.className(),
+        Gateway.Exchange accepted = gateway.submit(this, request, current.bodyRelay, current.memory, parsed.className(),
                 parsed.tenant(), parsed.objectKey(), parsed.timeLimit() - waited - acceptQueueMicros(),
                 parsed.secondTry(), parsed.work());
         // Null if it was answered at once: the next request may have been submitted already.
@@ -531,7 +528,7 @@
         HttpUtil.setKeepAlive(clientResponse, keepAlive);
         outgoingBody = bodyRelay;
         channel.write(clientResponse);
-        channel.writeAndFlush(new DefaultHttpContent(response.content().retain()));
+        bodyRelay.writeAhead(channel, response.content().retain());
         bodyRelay.writeTo(channel, complete -> {
             outgoingBody = null;
             onWritten.accept(complete);
@@ -583,15 +580,17 @@
         boolean keepAlive = !close && shouldKeepAlive();
         HttpUtil.setContentLength(response, response.content().readableBytes());
         HttpUtil.setKeepAlive(response, keepAlive);
-        channel.writeAndFlush(response).addListener(done -> responseWritten(keepAlive && done.isSuccess()));
+        gateway.memory().responses.write(channel, response, response.content().capacity())
+                .addListener(done -> responseWritten(keepAlive && done.isSuccess()));
+        channel.flush();
     }
 
     /** The response has been written, whether or not the whole request had arrived. */
     private void responseWritten(boolean keepAlive) {
         endRequestId();
         exchange = null;
-        current.releaseMemory();
-        decodedBytes -= current.heldBytes;
+        current.memory.release();
+        decodedBytes -= current.memory.heldBytes();
         abandonBody(current);  // it has been streamed, or is not needed
         current = null;
         if (keepAlive) {
--- a/src/main/java/mastdrift/net/DownstreamServer.java
+++ b/src/main/java/mastdrift/net/DownstreamServer.java
@@ -160,7 +160,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadAheadHandler.receiveBufferAllocator())
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadAheadHandler.receiveBufferAllocator(memory.readAhead))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -99,6 +99,7 @@
         private final FullHttpRequest request;
         private final String traceId;
         private final BodyRelay bodyRelay;  // the rest of the body, null if the request is complete
+        private final RequestMemory memory;
         private final long timeBudget;  // from the last byte of the request, in microseconds
         private long clientCheckedAt;  // the client was known to be connected at that time
         private boolean inputUnread;  // more of the client's input may have arrived before the request was read
@@ -114,12 +115,13 @@
         private boolean ended;
 
         private Exchange(Client client, String className, FullHttpRequest request, BodyRelay bodyRelay,
-                long timeBudget) {
+                RequestMemory memory, long timeBudget) {
             this.client = client;
             this.className = className;
             this.request = request;
             traceId = request.headers().get("X-Trace-Id");
             this.bodyRelay = bodyRelay;
+            this.memory = memory;
             this.timeBudget = timeBudget;
             bodyIncomplete = bodyRelay != null;
             clientCheckedAt = client.connectedAsOf();
@@ -392,10 +394,10 @@
         metrics.setGauge(GatewayMetrics.Gauge.IN_FLIGHT, openRequests - incompleteRequests);
     }
 
-    /** Accepts a request, retaining its message. {@code timeLeft} counts from the request's last byte;
-        {@code bodyRelay} is null if the request is complete. Returns null if the request was answered at once. */
-    Exchange submit(Client client, FullHttpRequest request, BodyRelay bodyRelay, String className, String tenant,
-            Long key, long timeLeft, boolean repeated, long work) {
+    /** Accepts a request, retaining its message, and its memory for as long as an attempt is writing it.
+        {@code timeLeft} counts from the request's last byte; {@code bodyRelay} is null if the request is complete. Returns null if the request was answered at once. */
+    Exchange submit(Client client, FullHttpRequest request, BodyRelay bodyRelay, RequestMemory memory, String className,
+            String tenant, Long key, long timeLeft, boolean repeated, long work) {
         metrics.increment(GatewayMetrics.Counter.TAKEN);
         if (openRequests >= maxOpenRequests) {
             metrics.increment(GatewayMetrics.Counter.REFUSED_AT_BOUND);
@@ -410,7 +412,7 @@
             client.sendFailure(true);
             return null;
         }
-        Exchange exchange = new Exchange(client, className, request.retain(), bodyRelay, timeBudget);
+        Exchange exchange = new Exchange(client, className, request.retain(), bodyRelay, memory, timeBudget);
         openRequests++;
         incompleteRequests += bodyRelay == null ? 0 : 1;
         updateInFlight();
@@ -535,9 +537,14 @@
         FullHttpRequest request = upstreamRequest(exchange);
         // The module's time may be some milliseconds old: the attempt must end ahead of the request's deadline.
         long timeLeft = rejected ? 0 : Math.min(timeout, exchange.deadline - now());
-        exchange.attempts.add(hostPool.send(hostId, request, exchange.bodyRelay, timeLeft,
-                new AttemptHandler(exchange, number, hostId)));
-        exchange.unresolvedAttempts++;  // not before: a send that threw an exception has no outcome
+        AttemptHandler handler = new AttemptHandler(exchange, number, hostId);
+        try {
+            exchange.attempts.add(hostPool.send(hostId, request, exchange.bodyRelay, timeLeft, handler));
+        } catch (RuntimeException | Error fault) {  // a send that threw has no outcome
+            handler.releaseRequest();
+            throw fault;
+        }
+        exchange.unresolvedAttempts++;
     }
 
     /** Checks, before an attempt starts, that the client has not disconnected; otherwise ends the request. Where that
@@ -592,11 +599,20 @@
         private long sentAt = now();
         private long responseStartedAt;
         private LoadReport loadReport;
+        private boolean holdsRequest = true;  // until it is written, or the attempt has ended
 
         AttemptHandler(Exchange exchange, int number, String hostId) {
             this.exchange = exchange;
             this.number = number;
             this.hostId = hostId;
+            exchange.memory.retain();
+        }
+
+        private void releaseRequest() {
+            if (holdsRequest) {
+                holdsRequest = false;
+                exchange.memory.release();
+            }
         }
 
         @Override
@@ -630,6 +646,7 @@
         @Override
         public void onRequestWritten() {
             metrics.increment(GatewayMetrics.Counter.ATTEMPTS_WRITTEN);
+            releaseRequest();
             if (exchange.bodyRelay != null && !exchange.ended) {
                 sentAt = now();
             }
@@ -651,6 +668,7 @@
 
         @Override
         public void onEnd(Outcome outcome, FullHttpResponse response) {
+            releaseRequest();
             long elapsed = (responseStartedAt == 0 ? now() : responseStartedAt) - sentAt;
             attemptEnded(exchange, number, hostId, elapsed, outcome, response,
                     loadReport == null ? loadReport(response) : loadReport);
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.PrematureChannelClosureException;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -152,7 +151,7 @@
                 .option(ChannelOption.ALLOCATOR, MessageBuffers.ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FairReadAllocator(clock))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new BoundedReadAllocator(new FairReadAllocator(clock), responseMemory))
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, DownstreamServer.WRITE_WATER_MARK)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000))
                 .handler(new ChannelInitializer<Channel>() {
@@ -494,6 +493,11 @@
             return super.splitHeaderName(line, start, length);
         }
 
+        /** The memory of what has been received and not been decoded. */
+        int heldBytes() {
+            return actualReadableBytes() > 0 ? internalBuffer().capacity() : 0;
+        }
+
         /** Whether a part of a response, or of invalid data, has been received. */
         boolean hasPartialInput() {
             return responseStarted || actualReadableBytes() > 0;
@@ -506,6 +510,7 @@
         private final Channel channel;
         private final ResponseDecoder decoder;
         private final MessageAggregator aggregator;
+        private final MemoryPool.Holding undecoded = responseMemory.newHolding();
         private BodyRelay responseRelay;  // of the response that is being streamed, or null
         private ResponseReadTimer responseTimer;  // of the same response
         private PooledHost host;
@@ -568,7 +573,7 @@
             HttpRequest head = new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(),
                     request.headers());
             channel.write(head);
-            channel.writeAndFlush(new DefaultHttpContent(request.content()));
+            sent.bodyRelay.writeAhead(channel, request.content());
             sent.stopTimers();
             sent.listener.onRequestStreaming();
             if (sent.bodyRelay.isComplete()) {
@@ -747,8 +752,11 @@
 
         /** Whether a part of a response of unknown length has been read for the attempt and not been passed on. */
         private boolean isPartHeldBack(Attempt current) {
-            return attempt == current && responseRelay == null && current.requestWritten && !current.finished
-                    && aggregator.hasPartialBodyOfUnknownLength();
+            return mayStream(current) && aggregator.hasPartialBodyOfUnknownLength();
+        }
+
+        private boolean mayStream(Attempt current) {
+            return attempt == current && responseRelay == null && current.requestWritten && !current.finished;
         }
 
         private void passOnPart() {
@@ -772,6 +780,7 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             lastReadAt = clock.getAsLong();
+            undecoded.set(decoder.heldBytes());
             if (responseRelay != null) {
                 responseDataStreamed();
             }
@@ -793,13 +802,16 @@
             responseComplete = false;
         }
 
-        /** Streams a response of unknown length once it has taken long enough. Called only when data has just arrived:
-            a response that has stalled may still be fetched from another host. */
+        /** Streams a response of unknown length once it has taken long enough, and any while memory is short. Called
+            only when data has just arrived: a response that has stalled may still be fetched from another host. */
         private void streamIfSlow(Attempt current) {
-            if (aggregator.hasPartialBodyOfUnknownLength()) {
+            boolean memoryShort = responseMemory.isExhausted() && mayStream(current) && aggregator.hasPartialBody();
+            if (memoryShort) {
+                passOnPart();
+            } else if (aggregator.hasPartialBodyOfUnknownLength()) {
                 long now = clock.getAsLong();
                 current.responseSeenAt = current.responseSeenAt == 0 ? now : current.responseSeenAt;
-                if (now - current.responseSeenAt >= MAX_AGGREGATION_MICROS || responseMemory.isExhausted()) {
+                if (now - current.responseSeenAt >= MAX_AGGREGATION_MICROS) {
                     passOnPart();
                 }
             }
@@ -823,6 +835,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            undecoded.set(0);
             if (attempt != null) {
                 attempt.finish(attempt.requestWritten ? Outcome.DROPPED : Outcome.DIAL_FAILED, null);
             } else if (host != null) {
--- a/src/main/java/mastdrift/net/MemoryPool.java
+++ b/src/main/java/mastdrift/net/MemoryPool.java
@@ -1,5 +1,7 @@
 package mastdrift.net;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import java.util.ArrayDeque;
 import java.util.Queue;
 
@@ -41,6 +43,19 @@
         }
     }
 
+    /** What one holder has of the pool, which changes as it takes and releases memory. */
+    final class Holding {
+
+        private long bytes;
+
+        /** The holder has that much from now on. */
+        void set(long held) {
+            long change = held - bytes;
+            bytes = held;
+            add(change);
+        }
+    }
+
     private final long maxBytes;
     private long usedBytes;
     private final Queue<Reservation> waiting = new ArrayDeque<>();
@@ -49,6 +64,11 @@
         this.maxBytes = maxBytes;
     }
 
+    /** Starts to count what one holder has, which is nothing at first. */
+    Holding newHolding() {
+        return new Holding();
+    }
+
     /** Counts memory that is held from now on; a negative number is memory that was released. */
     void add(long bytes) {
         usedBytes += bytes;
@@ -57,6 +77,12 @@
         }
     }
 
+    /** Writes a message that holds that many bytes, and counts them until the channel has written it or is closed. */
+    ChannelFuture write(Channel channel, Object message, int bytes) {
+        add(bytes);
+        return channel.write(message).addListener(written -> add(-bytes));
+    }
+
     /** Reserves memory; {@code onGranted} runs once it is there, unless that is at once. */
     Reservation reserve(long bytes, Runnable onGranted) {
         Reservation reservation = new Reservation(bytes, onGranted);
--- a/src/main/java/mastdrift/net/MessageAggregator.java
+++ b/src/main/java/mastdrift/net/MessageAggregator.java
@@ -53,7 +53,7 @@
     private final int maxRelayBytes;
     private final boolean reserving;
     private MemoryPool.Reservation reservation;  // for the message that is being aggregated, or null
-    private long countedBytes;  // what the pool counts for that message without a reservation
+    private final MemoryPool.Holding holding;  // what that message has without a reservation
 
     private HttpMessage head;  // of the message that is being aggregated, null if there is none
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -69,6 +69,7 @@
 
     private MessageAggregator(MemoryPool pool, MemoryPool relayPool, int maxRelayBytes, boolean reserving) {
         this.pool = pool;
+        holding = pool.newHolding();
         this.relayPool = relayPool;
         this.maxRelayBytes = maxRelayBytes;
         this.reserving = reserving;
@@ -94,9 +95,14 @@
         return head != null;
     }
 
-    /** Whether the current message is of unknown length and a part of its body has arrived. */
+    /** Whether a part of the body of the current message has arrived and not been passed on. */
+    boolean hasPartialBody() {
+        return head != null && body.isReadable();
+    }
+
+    /** Whether that is so and its length is unknown. */
     boolean hasPartialBodyOfUnknownLength() {
-        return head != null && contentLength < 0 && body.isReadable();
+        return hasPartialBody() && contentLength < 0;
     }
 
     /** Passes on the part that has arrived, with a relay for the rest of the body. */
@@ -156,9 +162,7 @@
     }
 
     private void updateHeld() {
-        long held = reservation == null ? body.capacity() : 0;
-        pool.add(held - countedBytes);
-        countedBytes = held;
+        holding.set(reservation == null ? body.capacity() : 0);
     }
 
     private static TooLongFrameException bodyTooLong() {
--- a/src/main/java/mastdrift/net/ReadAheadHandler.java
+++ b/src/main/java/mastdrift/net/ReadAheadHandler.java
@@ -19,6 +19,8 @@
 
     // Once this much has been read, it is delivered before more is read.
     private static final int MAX_TURN_BYTES = 32 << 10;
+    // The same while memory is short.
+    private static final int MAX_SHORT_TURN_BYTES = 2 * BoundedReadAllocator.SHORT_READ_BYTES;
     // Reads of one connection in a turn: a client that keeps sending small pieces must not occupy the loop.
     private static final int MAX_TURN_READS = 16;
     // Input is delivered in parts of this size, and for so long in one turn: a body in chunks of one byte takes long to
@@ -38,7 +40,8 @@
     private final ByteQueue buffers = new ByteQueue();
     private final SendTimeEstimator sendTimes = new SendTimeEstimator();
     private ChannelHandlerContext context;
-    private int countedBytes;  // what the pool counts for this connection
+    private final MemoryPool.Holding holding;
+    private int undecodedBytes;  // of what was delivered, what its receiver still holds
     private boolean paused;  // delivery is paused
     private boolean discarding;  // input is read and released
     private boolean deliveryScheduled;
@@ -51,18 +54,20 @@
     private boolean readScheduled;  // in this turn of the loop
 
     /** The allocator for the channels of such connections: a turn of the loop reads until there is no more input, and
-        so finds a disconnect that follows it. Both may have arrived if the loop was late. */
-    static RecvByteBufAllocator receiveBufferAllocator() {
+        so finds a disconnect that follows it. Both may have arrived if the loop was late. What is read is counted in
+        the pool. */
+    static RecvByteBufAllocator receiveBufferAllocator(MemoryPool pool) {
         AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator(FairReadAllocator.MIN_READ_BYTES,
                 FairReadAllocator.INITIAL_READ_BYTES, FairReadAllocator.MAX_READ_BYTES);
         allocator.respectMaybeMoreData(false).maxMessagesPerRead(MAX_TURN_READS);
-        return allocator;
+        return new BoundedReadAllocator(allocator, pool);
     }
 
     /** {@code disconnectRelevant} is queried while the receiver pauses. The clock counts microseconds from an arbitrary
         origin. */
     ReadAheadHandler(MemoryPool pool, BooleanSupplier disconnectRelevant, LongSupplier clock) {
         this.pool = pool;
+        holding = pool.newHolding();
         this.disconnectRelevant = disconnectRelevant;
         this.clock = clock;
     }
@@ -132,6 +137,7 @@
 
     @Override
     public void handlerRemoved(ChannelHandlerContext removed) {
+        undecodedBytes = 0;
         releaseBuffers();
     }
 
@@ -168,14 +174,19 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext from) {
+        undecodedBytes = 0;
         releaseBuffers();
         from.fireChannelInactive();
     }
 
+    /** Counts what the receiver holds of the delivered input, since it could not decode it yet. */
+    void setUndecodedBytes(int bytes) {
+        undecodedBytes = bytes;
+        updateHeld();
+    }
+
     private void updateHeld() {
-        int held = buffers.heldBytes();
-        pool.add(held - countedBytes);
-        countedBytes = held;
+        holding.set(buffers.heldBytes() + undecodedBytes);
     }
 
     /** Delivers the input after the events of this turn of the loop, which may include a disconnect, and never while
@@ -244,7 +255,7 @@
     /** Starts or stops reading, by the memory that is left. Also to be called when other connections may have freed
         some. */
     void updateAutoRead() {
-        boolean hasRoom = !paused ? buffers.heldBytes() < MAX_TURN_BYTES
+        boolean hasRoom = !paused ? buffers.heldBytes() < (pool.isExhausted() ? MAX_SHORT_TURN_BYTES : MAX_TURN_BYTES)
                 : hasRoomToReadAhead(MAX_READ_AHEAD_BYTES) && disconnectRelevant.getAsBoolean();
         boolean autoRead = !rearmingSelector && (discarding || hasRoom);
         if (autoRead == context.channel().config().isAutoRead()) {
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -10,6 +10,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -106,10 +107,13 @@
                 });
         try (Server discovery = discoveryServer()) {
             Config config = Config.read(environment(folder, discovery, hostList(1, true), SETTINGS));
-            loop.submit(() -> new Gateway(config, loop, System::nanoTime, balancer, config.newMetrics(), 8, 8,
-                    new PrintStream(log, true, StandardCharsets.UTF_8)::println)
-                    .submit(client, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    HttpMethod.GET, "/api"), null, "read", "acme", null, timeLeft, false, 0)).sync();
+            loop.submit(() -> {
+                Gateway gateway = new Gateway(config, loop, System::nanoTime, balancer, config.newMetrics(), 8, 8,
+                        new PrintStream(log, true, StandardCharsets.UTF_8)::println);
+                FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
+                gateway.submit(client, request, null, new RequestMemory(request, null, gateway.memory()), "read", "acme",
+                        null, timeLeft, false, 0);
+            }).sync();
         }
     }
 
