Bound heap and buffers together by the memory limit, half of it where a successor may run

No part of a gateway knew its memory limit: the virtual machine's options bounded the heap (48 MB), direct memory (48 MB) and code (24 MB) by themselves, and with the 52 MB that a process has besides their sum was above the least limit, 128 MB. The two processes of an upgrade share one limit, which they passed beside crowds: 217 and 209 of 192 MB.

limits.memory_mb is read now; a value that is no number of at least 1 ends the start with the key. Of what is left beside the virtual machine and what each connection needs to go on, heap and buffers together may take all, or half of it where the listening socket is passed. Once they have, every pool counts as exhausted until memory is free again.

--- a/src/main/java/mastdrift/net/Config.java
+++ b/src/main/java/mastdrift/net/Config.java
@@ -21,10 +21,15 @@
 
 /** The configuration of a gateway. Reading it throws IllegalArgumentException with a one-line message where it is
     invalid. {@code adminAddress} is null where operators have no access. {@code socketInherited} is set where the
-    platform holds the clients' listening socket and has passed it to this process as descriptor 0. {@code maxSockets}
-    is the limit of descriptors, {@code initialHosts} the host list to start with. */
+    platform holds the clients' listening socket and has passed it to this process as descriptor 0.
+    {@code memoryMegabytes} is the limit of memory and {@code maxSockets} that of descriptors, {@code initialHosts} the
+    host list to start with. */
 record Config(InetSocketAddress listenAddress, boolean socketInherited, InetSocketAddress adminAddress,
-        InetSocketAddress discoveryAddress, int maxSockets, HostList initialHosts, Settings settings) {
+        InetSocketAddress discoveryAddress, int memoryMegabytes, int maxSockets, HostList initialHosts,
+        Settings settings) {
+
+    // No limits: the program is bounded by the virtual machine's options.
+    private static final int UNLIMITED = 1 << 20;
 
     /** Reads the file that the variable {@code NODE_CONFIG} names; other variables override its values. */
     static Config read(Map<String, String> environment) {
@@ -42,11 +47,21 @@
                 !environment.getOrDefault("NODE_PASSED_SOCKET", "").isEmpty(),
                 admin.isEmpty() ? null : parseAddress(admin),
                 parseAddress(environment.getOrDefault("NODE_DISCOVERY", stringValue(root, "discovery"))),
-                root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
-                        ? sockets : Integer.MAX_VALUE,
+                limit(root, "memory_mb"), limit(root, "sockets"),
                 HostList.parse(root.get("known")), settings);
     }
 
+    private static int limit(Map<String, Object> root, String name) {
+        Object value = root.get("limits") instanceof Map<?, ?> limits ? limits.get(name) : null;
+        if (value == null) {
+            return UNLIMITED;
+        }
+        if (value instanceof Number number && number.doubleValue() >= 1) {
+            return (int) Math.min(UNLIMITED, number.longValue());
+        }
+        throw new IllegalArgumentException("limits." + name + ": expected a number of at least 1, not " + value);
+    }
+
     /** Creates the metrics of a gateway with this configuration. They exist before the gateway, since operators may ask
         earlier. */
     GatewayMetrics newMetrics() {
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -204,7 +204,7 @@
     private final GatewayMetrics metrics;
     private final EventLog log;
     private final LoopMonitor loopMonitor;
-    private final MessageMemory memory = new MessageMemory();
+    private final MessageMemory memory;
     private final ProcessMemory processMemory = new ProcessMemory();
     private final int maxOpenRequests;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -228,6 +228,7 @@
         clockOffset = System.currentTimeMillis() * 1000 - nanoTime.getAsLong() / 1000;
         this.metrics = metrics;
         this.balancer = balancer;
+        memory = new MessageMemory(config.memoryMegabytes(), config.socketInherited(), maxHostConnections);
         this.logOutput = logOutput;
         log = new EventLog(this::now, this::log);
         ThreadTimes times = new ThreadTimes();
@@ -282,6 +283,7 @@
 
     /** Notes how much memory is held, and how much the process has. */
     void recordMemory() {
+        memory.sample();
         metrics.recordPeak(GatewayMetrics.Peak.HELD_KIB, memory.usedKibibytes());
         processMemory.recordPeaks(metrics);
     }
--- a/src/main/java/mastdrift/net/MemoryPool.java
+++ b/src/main/java/mastdrift/net/MemoryPool.java
@@ -8,7 +8,7 @@
 /** Counts the memory that a gateway holds for one purpose over all its connections, overhead included, against a bound.
     At the bound, those who fill the pool stop reading from their peers. What has to be held whole is reserved ahead, in
     the order of the requests for it: messages that are held in part and wait for each other's memory would never end.
-    Used on one event loop's thread. */
+    A reservation needs room in its pool alone. Used on one event loop's thread. */
 final class MemoryPool {
 
     /** Memory that is set aside, or waited for. */
@@ -57,11 +57,19 @@
     }
 
     private final long maxBytes;
+    private final BufferBudget budget;  // of all pools together
     private long usedBytes;
     private final Queue<Reservation> waiting = new ArrayDeque<>();
 
-    MemoryPool(long maxBytes) {
+    /** A pool for memory that counts towards that budget as well. */
+    MemoryPool(long maxBytes, BufferBudget budget) {
         this.maxBytes = maxBytes;
+        this.budget = budget;
+    }
+
+    /** A pool with a bound of its own only. */
+    MemoryPool(long maxBytes) {
+        this(maxBytes, BufferBudget.unlimited());
     }
 
     /** Starts to count what one holder has, which is nothing at first. */
@@ -72,6 +80,7 @@
     /** Counts memory that is held from now on; a negative number is memory that was released. */
     void add(long bytes) {
         usedBytes += bytes;
+        budget.changed(bytes);
         if (bytes < 0) {
             grantWaiting();
         }
@@ -108,13 +117,14 @@
         }
     }
 
-    /** Whether more than half of the pool is free. */
+    /** Whether more than half of the pool is free, and the budget of all pools is not used up. */
     boolean isAmple() {
-        return usedBytes < maxBytes / 2;
+        return usedBytes < maxBytes / 2 && !budget.isUsedUp();
     }
 
+    /** Whether this pool, or the budget of all, is used up: only what a connection needs to go on should be taken. */
     boolean isExhausted() {
-        return usedBytes >= maxBytes;
+        return usedBytes >= maxBytes || budget.isUsedUp();
     }
 
     boolean isUnused() {
--- a/src/main/java/mastdrift/net/WarmUp.java
+++ b/src/main/java/mastdrift/net/WarmUp.java
@@ -72,7 +72,7 @@
             List<HostList.Entry> hosts = IntStream.range(0, HOST_COUNT).mapToObj(i -> new HostList.Entry(
                     new Host("rehearsal-" + i, config.settings().topology().zone(), 0, "", 1, HostState.IN_SERVICE, 0),
                     hostAddress)).toList();
-            Config warmUpConfig = new Config(anyPort, false, null, hostAddress, config.maxSockets(),
+            Config warmUpConfig = new Config(anyPort, false, null, hostAddress, config.memoryMegabytes(), config.maxSockets(),
                     new HostList(0, true, hosts), config.settings());
             Lifecycle lifecycle = new Lifecycle();
             DownstreamServer server = CompletableFuture.supplyAsync(() -> new DownstreamServer(loop, new Gateway(warmUpConfig,
--- /dev/null
+++ b/src/test/java/mastdrift/net/MemoryFaultsTest.java
@@ -0,0 +1,156 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.discoveryServer;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+import mastdrift.net.GatewayProcess.Limits;
+import mastdrift.net.Loopback.Server;
+import mastdrift.net.MemoryCrowd.Kind;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Gateway processes within drawn limits under drawn crowds: which forms are mixed, how many clients come in how many
+    waves, suspensions and SIGHUP in series, kills and restarts, upgrades. By hand: {@code -Dmemory.seeds=1..50}. */
+class MemoryFaultsTest {
+
+    private static final int RUN_MILLIS = 10_000;
+    private static final int EVENT_AT_MILLIS = 3_500;
+    private static final int SIGNAL_PAUSE_MILLIS = 300;
+    private static final int SUSPENSION_MILLIS = 140;  // and what it takes to send two signals
+    // The kill comes 0.7 s plus the longest deadline after SIGTERM.
+    private static final int KILL_AFTER_MILLIS = PlainClients.DEADLINE_MILLIS + 700;
+    private static final int UPGRADE_MEGABYTES = 192;
+
+    /** What happens to the process in the midst of a run. */
+    private enum Event { NONE, UPGRADE, SIGTERM_AND_RESTART, KILL_AND_RESTART }
+
+    @TempDir
+    private Path folder;
+
+    private static LongStream seeds() {
+        String seeds = System.getProperty("memory.seeds", "1..4");
+        if (seeds.contains("..")) {
+            String[] bounds = seeds.split("\\.\\.");
+            return LongStream.rangeClosed(Long.parseLong(bounds[0]), Long.parseLong(bounds[1]));
+        }
+        return Arrays.stream(seeds.split(",")).mapToLong(Long::parseLong);
+    }
+
+    /** Guards against processes over their limit, faults in their log, and requests of plain clients that are lost. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void staysWithinItsLimits(long seed) throws Exception {
+        Random random = new Random(seed * 7919);
+        Event event = Event.values()[(int) (seed % Event.values().length)];
+        Limits limits = new Limits(event == Event.UPGRADE ? UPGRADE_MEGABYTES : pick(random, List.of(128, 128, 144, 160, 192)),
+                pick(random, List.of(256, 384, 512, 1024, 1024, 1024)));
+        boolean signals = seed % 3 == 0;
+        List<String> breaches = new ArrayList<>();
+        List<String> logs = new ArrayList<>();
+        try (Server discovery = discoveryServer(); RecordingHosts hosts = new RecordingHosts();
+                PassedSocket passed = new PassedSocket(folder)) {
+            GatewayProcess first = new GatewayProcess(folder, "first", event == Event.UPGRADE ? passed : null, discovery,
+                    hosts.list(), settings(), limits);
+            GatewayProcess second = null;
+            try (MemoryMeter meter = new MemoryMeter(first)) {
+                PlainClients others = new PlainClients(first);
+                MemoryCrowd crowd = new MemoryCrowd(first);
+                Thread waves = startWaves(crowd, limits, random);
+                TimeUnit.MILLISECONDS.sleep(EVENT_AT_MILLIS);
+                if (event == Event.UPGRADE) {
+                    second = GatewayProcess.successor(folder, "second", passed, discovery, hosts.list(), settings(), limits, meter);
+                    first.terminate(KILL_AFTER_MILLIS);
+                } else if (event != Event.NONE) {
+                    others.expectEnd(event == Event.KILL_AND_RESTART);
+                    first.terminate(event == Event.KILL_AND_RESTART ? 0 : KILL_AFTER_MILLIS);
+                    second = GatewayProcess.restarted(folder, "second", first, discovery, hosts.list(), settings(), limits, meter);
+                }
+                GatewayProcess current = second == null ? first : second;
+                while (signals && waves.isAlive()) {
+                    sendSignals(current, random);
+                }
+                waves.join();
+                others.end();
+                crowd.end();
+                logs.add(first.log());
+                logs.add(second == null ? "" : second.log());
+                logs.add(others.events());
+                addBreaches(breaches, current, meter.peakMegabytes(), limits, first.log() + logs.get(1), others);
+                System.out.println("memory: seed " + seed + " " + event + (signals ? " signals" : "") + " " + limits + ": peak "
+                        + meter.peakMegabytes() + " MB, crowd's connections " + crowd.connections() + ", others "
+                        + others.summary() + "; breaches " + breaches);
+            } finally {
+                first.close();
+                if (second != null) {
+                    second.close();
+                }
+            }
+        }
+        Files.writeString(Path.of("target", "memory-seed-" + seed + ".log"), String.join("\n", logs));
+        assertEquals(List.of(), breaches);
+    }
+
+    private static String settings() {
+        return SETTINGS.replace("\"quota_per_s\":1000.0", "\"quota_per_s\":100000.0")
+                .replace("60000000", Integer.toString(PlainClients.DEADLINE_MILLIS * 1000));
+    }
+
+    private static <T> T pick(Random random, List<T> of) {
+        return of.get(random.nextInt(of.size()));
+    }
+
+    /** Starts waves of clients, each of some of the kinds and up to half of the descriptors in all. */
+    private static Thread startWaves(MemoryCrowd crowd, Limits limits, Random random) {
+        int waves = 1 + random.nextInt(4);
+        int share = 2 + random.nextInt(3);
+        Random own = new Random(random.nextLong());
+        return RecordingHost.startThread(() -> {
+            for (int wave = 0; wave < waves; wave++) {
+                List<Kind> kinds = new ArrayList<>(Arrays.asList(Kind.values()));
+                while (kinds.size() > 1 && own.nextInt(4) != 0) {
+                    kinds.remove(own.nextInt(kinds.size()));
+                }
+                crowd.start(limits.sockets() / share + own.nextInt(60), kinds, RUN_MILLIS / waves, own);
+                TimeUnit.MILLISECONDS.sleep(RUN_MILLIS / waves);
+            }
+        });
+    }
+
+    /** SIGHUP, or a suspension of the length that the platform may impose, and a pause. */
+    private static void sendSignals(GatewayProcess gateway, Random random) throws Exception {
+        if (random.nextBoolean()) {
+            gateway.signal("HUP");
+        } else {
+            gateway.signal("STOP");
+            TimeUnit.MILLISECONDS.sleep(SUSPENSION_MILLIS);
+            gateway.signal("CONT");
+        }
+        TimeUnit.MILLISECONDS.sleep(SIGNAL_PAUSE_MILLIS * (1 + random.nextInt(5)));
+    }
+
+    private static void addBreaches(List<String> breaches, GatewayProcess current, long peakMegabytes, Limits limits,
+            String log, PlainClients others) {
+        if (!current.isAlive()) {
+            breaches.add("ended by itself");
+        }
+        if (peakMegabytes >= limits.memoryMegabytes()) {
+            breaches.add("peak of " + peakMegabytes + " MB");
+        }
+        if (log.contains("fault") || log.contains("Error")) {
+            breaches.add("a fault in the log");
+        }
+        if (others.lostForGood() > 0) {
+            breaches.add("lost " + others.lostForGood());
+        }
+    }
+}
