--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -524,7 +524,7 @@
 
     private LoadReport loadReport(FullHttpResponse response) {
         boolean inline = response != null && settings.capabilities().loadReportMode() == LoadReportMode.INLINE;
-        return LoadReportParser.parse(inline ? response.headers().get("Endpoint-Load-Metrics") : null);
+        return LoadReportParser.parse(inline ? response.headers().get(HostConnectionPool.LOAD_REPORT_HEADER) : null);
     }
 
     // ---- actions
--- a/src/main/java/mastdrift/net/HostConnectionPool.java
+++ b/src/main/java/mastdrift/net/HostConnectionPool.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
@@ -31,6 +32,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -46,6 +48,10 @@
 final class HostConnectionPool {
 
     static final String EXPIRES_HEADER = "X-Expires-In-Ms";
+    static final String LOAD_REPORT_HEADER = "Endpoint-Load-Metrics";
+    private static final String NEVER_RAN_HEADER = "X-Never-Ran";
+    /** The headers of the platform that responses are read for. */
+    static final List<String> RESPONSE_HEADERS = List.of(LOAD_REPORT_HEADER, NEVER_RAN_HEADER);
     // Part of the hosts' idle timeout after which an idle connection is no longer used: a request that is written later
     // could meet the host's close.
     private static final double IDLE_TIMEOUT_FRACTION = 0.8;
@@ -465,6 +471,10 @@
 
         private boolean responseStarted;
 
+        ResponseDecoder() {
+            super(new HttpDecoderConfig().setHeadersFactory(UsedHeaders.FACTORY).setTrailersFactory(UsedHeaders.FACTORY));
+        }
+
         @Override
         protected HttpMessage createMessage(String[] line) {
             responseStarted = true;
@@ -820,7 +830,7 @@
         private Outcome outcome(FullHttpResponse response) {
             return switch (response.status().code()) {
                 case 200 -> Outcome.DELIVERED;
-                case 503, 504 -> "1".equals(response.headers().get("X-Never-Ran")) ? Outcome.SHED : Outcome.ERROR;
+                case 503, 504 -> "1".equals(response.headers().get(NEVER_RAN_HEADER)) ? Outcome.SHED : Outcome.ERROR;
                 default -> Outcome.ERROR;
             };
         }
--- a/src/main/java/mastdrift/net/UsedHeaders.java
+++ b/src/main/java/mastdrift/net/UsedHeaders.java
@@ -5,11 +5,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 
-/** The headers of a request that the gateway uses. Others are checked and left out: a head of many short fields would
-    take some fifty times its length in memory for as long as its request is held. */
+/** The headers of a request or a response that the gateway uses. Others are checked and left out: a head of many short
+    fields would take some fifty times its length in memory for as long as its message is held. */
 final class UsedHeaders extends DefaultHttpHeaders {
 
-    /** Creates the headers of a request that is being decoded. */
+    /** Creates the headers of a message that is being decoded. */
     static final HttpHeadersFactory FACTORY = new HttpHeadersFactory() {
         @Override
         public HttpHeaders newHeaders() {
@@ -22,7 +22,7 @@
         }
     };
 
-    /** More lines than this of headers that are used are no proper request. */
+    /** More lines than this of headers that are used are no proper message. */
     static final int MAX_LINES = 64;
 
     private static final HttpHeaders USED_NAMES = usedNames();
@@ -30,6 +30,7 @@
     private static HttpHeaders usedNames() {
         HttpHeaders names = new DefaultHttpHeaders();
         RequestParser.REQUEST_HEADERS.forEach(name -> names.set(name, ""));
+        HostConnectionPool.RESPONSE_HEADERS.forEach(name -> names.set(name, ""));
         EntityHeaders.NAMES.forEach(name -> names.set(name, ""));
         names.set(HttpHeaderNames.CONTENT_LENGTH, "").set(HttpHeaderNames.TRANSFER_ENCODING, "")
                 .set(HttpHeaderNames.CONNECTION, "").set(HttpHeaderNames.EXPECT, "");
--- a/src/test/java/mastdrift/net/MemoryCrowd.java
+++ b/src/test/java/mastdrift/net/MemoryCrowd.java
@@ -19,7 +19,7 @@
     /** What a client does on a connection. */
     enum Kind {
         WRITES_SLOWLY, STOPS_HALF_WAY, SENDS_MANY_FIELDS, SENDS_LONG_FIELDS, READS_SLOWLY, READS_NOTHING,
-        UPLOADS_TO_SLOW_HOSTS, CONNECTS_ONLY
+        GETS_MANY_FIELDS, UPLOADS_TO_SLOW_HOSTS, CONNECTS_ONLY
     }
 
     private static final int READ_TIMEOUT_MILLIS = 30_000;
@@ -87,6 +87,7 @@
             case CONNECTS_ONLY -> stay(socket, endAt, random);
             case UPLOADS_TO_SLOW_HOSTS -> uploadToSlowHost(socket, client, number, endAt, random);
             case READS_NOTHING -> readNothing(socket, client, number, endAt, random);
+            case GETS_MANY_FIELDS -> getManyFields(socket, client, number, endAt, random);
             case SENDS_LONG_FIELDS -> sendLongFields(socket, client, number, endAt, random);
         }
     }
@@ -208,6 +209,18 @@
         }
     }
 
+    /** Asks for answers with as many header fields as fit, which their hosts write slowly. */
+    private void getManyFields(Socket socket, int client, int number, long endAt, Random random) throws Exception {
+        int pause = pick(random, List.of(20, 60, 190));
+        for (int i = 0; goesOn(endAt); i++) {
+            String query = "fields=1900&size=100&piece=10&pause=" + pause + "&framing=" + pick(random, List.of("length", "chunks"));
+            Loopback.write(socket, request(client, number * 100 + i, 10, query, "") + "0123456789");
+            if (Loopback.read(socket) == null) {
+                return;
+            }
+        }
+    }
+
     /** Sends requests at once with fields of all the length that a head may have, which are kept with their request. */
     private void sendLongFields(Socket socket, int client, int number, long endAt, Random random) throws Exception {
         String field = pick(random, List.of("X-Size-Hint: ", "Content-Type: ", "Expect: ", "X-Second-Try: ")) + "p".repeat(7_000) + "\r\n";
--- a/src/test/java/mastdrift/net/RecordingHost.java
+++ b/src/test/java/mastdrift/net/RecordingHost.java
@@ -17,7 +17,7 @@
 /** A host that records when each request begins and whether it comes whole, and that does what the request's query
     asks for: {@code stall} is how many milliseconds it waits before it reads the body, {@code rate} how many bytes of
     it it reads a second, {@code work} how many milliseconds it takes for the answer, {@code size} its length, {@code piece} and {@code pause} the pieces in which it writes
-    it, {@code framing} its framing (length, chunks or close). {@code end=reset} resets the connection instead of an
+    it, {@code fields} how many short header fields it has, {@code framing} its framing (length, chunks or close). {@code end=reset} resets the connection instead of an
     answer, {@code cut} does so after so many bytes of the body. */
 final class RecordingHost implements AutoCloseable {
 
@@ -210,7 +210,7 @@
         int pause = query(head, "pause", 0);
         boolean chunks = head.contains("framing=chunks");
         boolean untilClose = head.contains("framing=close");
-        Loopback.write(connection, "HTTP/1.1 200 OK\r\n" + (chunks ? "Transfer-Encoding: chunked"
+        Loopback.write(connection, "HTTP/1.1 200 OK\r\n" + "a:\r\n".repeat(query(head, "fields", 0)) + (chunks ? "Transfer-Encoding: chunked"
                 : untilClose ? "Connection: close" : "Content-Length: " + size) + "\r\n\r\n");
         String text = id.repeat(size / id.length() + 1);
         for (int from = 0; from < size; from += piece) {
--- a/src/test/java/mastdrift/net/UsedHeadersTest.java
+++ b/src/test/java/mastdrift/net/UsedHeadersTest.java
@@ -28,8 +28,9 @@
     @Test
     void keepsAllLinesOfWhatIsUsed() {
         headers.add("Connection", "keep-alive").add("connection", "close").add("X-Qos", "once").add("X-Size-Hint", "3")
-                .add("X-Second-Try", "1").add("Content-Encoding", "gzip").add("Expect", "100-continue");
-        assertEquals(7, headers.size());
+                .add("X-Second-Try", "1").add("Content-Encoding", "gzip").add("Expect", "100-continue").add("X-Never-Ran", "1")
+                .add("Endpoint-Load-Metrics", "TEXT queue=2");
+        assertEquals(9, headers.size());
         assertEquals(List.of("keep-alive", "close"), headers.getAll("Connection"));
         assertTrue(headers.contains("x-second-try"));
     }
