--- a/src/test/java/mastdrift/net/CrowdTest.java
+++ b/src/test/java/mastdrift/net/CrowdTest.java
@@ -169,10 +169,6 @@
                 ? response("200 OK", longBody) : response("200 OK", "ok")));
     }
 
-    private static long[] seeds() {
-        return Arrays.stream(System.getProperty("crowd.seeds", "1").split(",")).mapToLong(Long::parseLong).toArray();
-    }
-
     private static List<Form> forms() {
         return Arrays.stream(Form.values()).filter(form -> form.name().matches(System.getProperty("crowd.forms", ".*")))
                 .toList();
@@ -182,7 +178,7 @@
     @ParameterizedTest
     @MethodSource("forms")
     void othersAreServedAndMemoryIsBounded(Form form) throws Exception {
-        for (long seed : seeds()) {
+        for (long seed : Seeds.of("crowd.seeds", "1").toArray()) {
             play(form, seed);
         }
     }
--- a/src/test/java/mastdrift/net/GatewayProcess.java
+++ b/src/test/java/mastdrift/net/GatewayProcess.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -19,6 +20,7 @@
     private static final int START_TRIES = 300;
     private static final int RETRY_MILLIS = 50;
     private static final int KIBIBYTES_PER_MEGABYTE = 1024;
+    private static final int SUSPENSION_MILLIS = 140;  // and what it takes to send two signals
 
     /** The limits in a gateway's settings. */
     record Limits(int memoryMegabytes, int sockets) { }
@@ -174,6 +176,17 @@
         }
     }
 
+    /** Sends SIGHUP, or suspends the process for as long as the platform may. */
+    void hangUpOrSuspend(Random random) throws Exception {
+        if (random.nextBoolean()) {
+            signal("HUP");
+            return;
+        }
+        signal("STOP");
+        TimeUnit.MILLISECONDS.sleep(SUSPENSION_MILLIS);
+        signal("CONT");
+    }
+
     /** Sends a signal by its name. */
     void signal(String name) throws Exception {
         new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
--- a/src/test/java/mastdrift/net/MemoryFaultsTest.java
+++ b/src/test/java/mastdrift/net/MemoryFaultsTest.java
@@ -1,6 +1,5 @@
 package mastdrift.net;
 
-import static mastdrift.net.Loopback.SETTINGS;
 import static mastdrift.net.Loopback.discoveryServer;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -26,7 +25,6 @@
     private static final int RUN_MILLIS = 10_000;
     private static final int EVENT_AT_MILLIS = 3_500;
     private static final int SIGNAL_PAUSE_MILLIS = 300;
-    private static final int SUSPENSION_MILLIS = 140;  // and what it takes to send two signals
     // The kill comes 0.7 s plus the longest deadline after SIGTERM.
     private static final int KILL_AFTER_MILLIS = PlainClients.DEADLINE_MILLIS + 700;
     private static final int UPGRADE_MEGABYTES = 192;
@@ -38,12 +36,7 @@
     private Path folder;
 
     private static LongStream seeds() {
-        String seeds = System.getProperty("memory.seeds", "1..4");
-        if (seeds.contains("..")) {
-            String[] bounds = seeds.split("\\.\\.");
-            return LongStream.rangeClosed(Long.parseLong(bounds[0]), Long.parseLong(bounds[1]));
-        }
-        return Arrays.stream(seeds.split(",")).mapToLong(Long::parseLong);
+        return Seeds.of("memory.seeds", "1..4");
     }
 
     /** Guards against processes over their limit, faults in their log, and requests of plain clients that are lost. */
@@ -60,7 +53,7 @@
         try (Server discovery = discoveryServer(); RecordingHosts hosts = new RecordingHosts();
                 PassedSocket passed = new PassedSocket(folder)) {
             GatewayProcess first = new GatewayProcess(folder, "first", event == Event.UPGRADE ? passed : null, discovery,
-                    hosts.list(), settings(), limits);
+                    hosts.list(), RecordingHosts.settings(), limits);
             GatewayProcess second = null;
             try (MemoryMeter meter = new MemoryMeter(first)) {
                 PlainClients others = new PlainClients(first);
@@ -68,16 +61,17 @@
                 Thread waves = startWaves(crowd, limits, random);
                 TimeUnit.MILLISECONDS.sleep(EVENT_AT_MILLIS);
                 if (event == Event.UPGRADE) {
-                    second = GatewayProcess.successor(folder, "second", passed, discovery, hosts.list(), settings(), limits, meter);
+                    second = GatewayProcess.successor(folder, "second", passed, discovery, hosts.list(), RecordingHosts.settings(), limits, meter);
                     first.terminate(KILL_AFTER_MILLIS);
                 } else if (event != Event.NONE) {
                     others.expectEnd(event == Event.KILL_AND_RESTART);
                     first.terminate(event == Event.KILL_AND_RESTART ? 0 : KILL_AFTER_MILLIS);
-                    second = GatewayProcess.restarted(folder, "second", first, discovery, hosts.list(), settings(), limits, meter);
+                    second = GatewayProcess.restarted(folder, "second", first, discovery, hosts.list(), RecordingHosts.settings(), limits, meter);
                 }
                 GatewayProcess current = second == null ? first : second;
                 while (signals && waves.isAlive()) {
-                    sendSignals(current, random);
+                    current.hangUpOrSuspend(random);
+                    TimeUnit.MILLISECONDS.sleep(SIGNAL_PAUSE_MILLIS * (1 + random.nextInt(5)));
                 }
                 waves.join();
                 others.end();
@@ -100,11 +94,6 @@
         assertEquals(List.of(), breaches);
     }
 
-    private static String settings() {
-        return SETTINGS.replace("\"quota_per_s\":1000.0", "\"quota_per_s\":100000.0")
-                .replace("60000000", Integer.toString(PlainClients.DEADLINE_MILLIS * 1000));
-    }
-
     private static <T> T pick(Random random, List<T> of) {
         return of.get(random.nextInt(of.size()));
     }
@@ -126,18 +115,6 @@
         });
     }
 
-    /** SIGHUP, or a suspension of the length that the platform may impose, and a pause. */
-    private static void sendSignals(GatewayProcess gateway, Random random) throws Exception {
-        if (random.nextBoolean()) {
-            gateway.signal("HUP");
-        } else {
-            gateway.signal("STOP");
-            TimeUnit.MILLISECONDS.sleep(SUSPENSION_MILLIS);
-            gateway.signal("CONT");
-        }
-        TimeUnit.MILLISECONDS.sleep(SIGNAL_PAUSE_MILLIS * (1 + random.nextInt(5)));
-    }
-
     private static void addBreaches(List<String> breaches, GatewayProcess current, long peakMegabytes, Limits limits,
             String log, PlainClients others) {
         if (!current.isAlive()) {
--- a/src/test/java/mastdrift/net/MemoryLimitTest.java
+++ b/src/test/java/mastdrift/net/MemoryLimitTest.java
@@ -1,6 +1,5 @@
 package mastdrift.net;
 
-import static mastdrift.net.Loopback.SETTINGS;
 import static mastdrift.net.Loopback.discoveryServer;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -62,17 +61,12 @@
         }
     }
 
-    private static String settings() {
-        return SETTINGS.replace("\"quota_per_s\":1000.0", "\"quota_per_s\":100000.0")
-                .replace("60000000", Integer.toString(PlainClients.DEADLINE_MILLIS * 1000));
-    }
-
     /** Guards against a process that passes its memory limit, and other clients' requests that are lost beside it. */
     @ParameterizedTest
     @EnumSource
     void staysWithinTheLeastMemoryBesideACrowd(Crowd crowd) throws Exception {
         try (Server discovery = discoveryServer(); RecordingHosts hosts = new RecordingHosts();
-                GatewayProcess gateway = new GatewayProcess(folder, discovery, hosts.list(), settings(), LEAST)) {
+                GatewayProcess gateway = new GatewayProcess(folder, discovery, hosts.list(), RecordingHosts.settings(), LEAST)) {
             PlainClients others = new PlainClients(gateway);
             MemoryCrowd script = new MemoryCrowd(gateway);
             crowd.play(script, RUN_MILLIS, new Random(crowd.ordinal()));
@@ -89,7 +83,7 @@
     void staysWithinOneLimitDuringAnUpgrade(Crowd crowd) throws Exception {
         try (Server discovery = discoveryServer(); RecordingHosts hosts = new RecordingHosts();
                 PassedSocket passed = new PassedSocket(folder);
-                GatewayProcess gateway = new GatewayProcess(folder, "old", passed, discovery, hosts.list(), settings(), UPGRADE);
+                GatewayProcess gateway = new GatewayProcess(folder, "old", passed, discovery, hosts.list(), RecordingHosts.settings(), UPGRADE);
                 MemoryMeter meter = new MemoryMeter(gateway)) {
             PlainClients others = new PlainClients(gateway);
             MemoryCrowd script = new MemoryCrowd(gateway);
@@ -97,7 +91,7 @@
                     crowd.play(script, UPGRADE_AT_MILLIS + RUN_MILLIS, new Random(crowd.ordinal())));
             TimeUnit.MILLISECONDS.sleep(UPGRADE_AT_MILLIS);
             try (GatewayProcess successor = GatewayProcess.successor(folder, "new", passed, discovery, hosts.list(),
-                    settings(), UPGRADE, meter)) {
+                    RecordingHosts.settings(), UPGRADE, meter)) {
                 gateway.terminate(KILL_AFTER_MILLIS);
                 play.join();
                 others.end();
--- a/src/test/java/mastdrift/net/PeerFaultsTest.java
+++ b/src/test/java/mastdrift/net/PeerFaultsTest.java
@@ -12,7 +12,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -39,7 +38,6 @@
     private static final int RUN_MILLIS = 9_000;
     private static final int UPGRADE_AT_MILLIS = 2_500;
     private static final int SIGNAL_PAUSE_MILLIS = 300;
-    private static final int SUSPENSION_MILLIS = 140;  // and what it takes to send two signals
     // The rules' limits: the 0.1 s and 0.5 s of the pages, with the 50 ms of the sockets.
     private static final long DEPARTED_SLACK_MILLIS = 150;
     private static final long LATE_MILLIS = 550;
@@ -50,12 +48,7 @@
     private Path folder;
 
     private static LongStream seeds() {
-        String seeds = System.getProperty("peers.seeds", "1,2,3");
-        if (seeds.contains("..")) {
-            String[] bounds = seeds.split("\\.\\.");
-            return LongStream.rangeClosed(Long.parseLong(bounds[0]), Long.parseLong(bounds[1]));
-        }
-        return Arrays.stream(seeds.split(",")).mapToLong(Long::parseLong);
+        return Seeds.of("peers.seeds", "1,2,3");
     }
 
     /** Guards against requests sent on for clients that have left, ids that run twice, answers that come late or never
@@ -95,7 +88,7 @@
                 }
                 while (signals && System.nanoTime() < endAt) {
                     TimeUnit.MILLISECONDS.sleep(SIGNAL_PAUSE_MILLIS * (1 + random.nextInt(6)));
-                    sendSignals(successor == null ? gateway : successor, random);
+                    (successor == null ? gateway : successor).hangUpOrSuspend(random);
                 }
                 for (Thread thread : threads) {
                     thread.join();
@@ -120,17 +113,6 @@
         }
     }
 
-    /** SIGHUP, or a suspension of the length that the platform may impose. */
-    private static void sendSignals(GatewayProcess gateway, Random random) throws Exception {
-        if (random.nextBoolean()) {
-            gateway.signal("HUP");
-            return;
-        }
-        gateway.signal("STOP");
-        TimeUnit.MILLISECONDS.sleep(SUSPENSION_MILLIS);
-        gateway.signal("CONT");
-    }
-
     /** How long this process itself was late at most: what it measured is off by as much. */
     private static void measurePauses(long endAt, AtomicLong longestMillis) throws InterruptedException {
         while (System.nanoTime() < endAt) {
--- a/src/test/java/mastdrift/net/RecordingHosts.java
+++ b/src/test/java/mastdrift/net/RecordingHosts.java
@@ -33,6 +33,12 @@
         return hostList(1, true, entries.toArray(String[]::new));
     }
 
+    /** Settings under which no quota refuses a crowd, with the deadline of the plain clients. */
+    static String settings() {
+        return Loopback.SETTINGS.replace("\"quota_per_s\":1000.0", "\"quota_per_s\":100000.0")
+                .replace("60000000", Integer.toString(PlainClients.DEADLINE_MILLIS * 1000));
+    }
+
     @Override
     public void close() throws IOException {
         for (RecordingHost host : hosts) {
