Return the memory of a request once, also where an attempt comes after its end

The pools for heads and bodies of requests fell below zero (held_kib=-5404 in a run of PeerFaultsTest), so that their bounds held less and less. Where a request had ended, as its client had left, an attempt that the module still put to it took the released memory as a holder and returned it a second time.

MessageMemoryTest.requestIsReturnedOnceThoughAnotherHolderComesLater failed before (-2000 for 0) and holds now.

--- a/src/main/java/mastdrift/net/RequestMemory.java
+++ b/src/main/java/mastdrift/net/RequestMemory.java
@@ -17,6 +17,7 @@
     private final long headBytes;
     private final long bodyBytes;
     private int holders = 1;
+    private boolean released;
 
     /** Counts a request; its body is counted by the reservation if there is one. */
     RequestMemory(FullHttpRequest request, MemoryPool.Reservation reservation, MessageMemory pools) {
@@ -41,7 +42,8 @@
         return headBytes + bodyBytes;
     }
 
-    /** Adds a holder, which has to release the memory as well. */
+    /** Adds a holder, which has to release the memory as well. One that comes after the last has gone has nothing of
+        it: the request has ended, and its attempt is not going to be written. */
     void retain() {
         holders++;
     }
@@ -49,9 +51,10 @@
     /** Returns the memory if this is the last holder. Has no effect after that. */
     void release() {
         holders--;
-        if (holders != 0) {
+        if (holders != 0 || released) {
             return;
         }
+        released = true;
         pools.heads.add(-headBytes);
         if (reservation == null) {
             pools.requests.add(-bodyBytes);
--- a/src/test/java/mastdrift/net/MessageMemoryTest.java
+++ b/src/test/java/mastdrift/net/MessageMemoryTest.java
@@ -138,6 +138,19 @@
         assertTrue(memory.requests.isUnused() && memory.heads.isUnused());
     }
 
+    /** Guards against memory that is returned twice: an attempt may still be put to a request that has ended. */
+    @Test
+    void requestIsReturnedOnceThoughAnotherHolderComesLater() {
+        MessageMemory memory = new MessageMemory(128, false, 488);
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/", buffer(2_000));
+        RequestMemory held = new RequestMemory(request, null, memory);
+        held.release();
+        held.retain();
+        held.release();
+        assertEquals(0, memory.requests.usedBytes());
+        assertEquals(0, memory.heads.usedBytes());
+    }
+
     /** Guards against reservations for bodies that pass the limit together. */
     @ParameterizedTest
     @CsvSource({"96, false, 104, 4", "128, false, 488, 10", "128, false, 104, 10", "192, false, 488, 10", "128, true, 488, 4",
