Leave the buffers 8 MiB in any case: uploads ended late in an upgrade at 128 MB

Half of that limit is less than the virtual machine takes, so that the budget was used up from 4 MiB of buffers on, and bodies went a few KiB a turn.

--- a/src/main/java/mastdrift/net/MessageMemory.java
+++ b/src/main/java/mastdrift/net/MessageMemory.java
@@ -12,7 +12,7 @@
     // What a connection of a client and its connection to a host may hold though the budget is used up: a read, an
     // undecoded head, and a part of a body in a relay and on its way out, each on both sides.
     private static final long RESERVED_CONNECTION_BYTES = 16 << 10;
-    private static final long MIN_BUFFER_BYTES = 4 * MEGABYTE;
+    private static final long MIN_BUFFER_BYTES = 8 * MEGABYTE;
     private static final long READ_AHEAD_BYTES = 6 * MEGABYTE;
     private static final long UPLOAD_BYTES = 6 * MEGABYTE;
     private static final long RESPONSE_BYTES = 8 * MEGABYTE;
