Tests: start a process in one way, whether its memory is sampled or not

Four constructors that called each other with a flag become two, and the two starts of a further process share the step that samples its memory and waits for it.

--- a/src/test/java/mastdrift/net/GatewayProcess.java
+++ b/src/test/java/mastdrift/net/GatewayProcess.java
@@ -40,17 +40,13 @@
         {@code socket} is null, and waits until it is ready. */
     GatewayProcess(Path folder, String name, PassedSocket socket, Loopback.Server discovery, String knownList,
             String settings, Limits limits) throws Exception {
-        this(folder, name, socket, discovery, knownList, settings, limits, true);
-    }
-
-    private GatewayProcess(Path folder, String name, PassedSocket socket, Loopback.Server discovery, String knownList,
-            String settings, Limits limits, boolean awaitReady) throws Exception {
-        this(folder, name, socket, socket == null ? freePort() : socket.port(), discovery, knownList, settings, limits,
-                awaitReady);
+        this(folder, name, socket, socket == null ? freePort() : socket.port(), discovery, knownList, settings, limits);
+        awaitReady();
     }
 
+    /** Starts a gateway, which is not ready yet. */
     private GatewayProcess(Path folder, String name, PassedSocket socket, int port, Loopback.Server discovery,
-            String knownList, String settings, Limits limits, boolean awaitReady) throws Exception {
+            String knownList, String settings, Limits limits) throws Exception {
         this.port = port;
         adminPort = freePort();
         log = folder.resolve(name + ".log");
@@ -64,29 +60,26 @@
                 + " 2>&1";
         process = socket == null ? new ProcessBuilder("/bin/sh", "-c", command)
                 .redirectInput(new File("/dev/null")).start().toHandle() : socket.start(command);
-        if (awaitReady) {
-            awaitReady();
-        }
     }
 
     /** Starts a gateway at the address of another that has ended, and waits until it is ready. */
     static GatewayProcess restarted(Path folder, String name, GatewayProcess ended, Loopback.Server discovery,
             String knownList, String settings, Limits limits, MemoryMeter meter) throws Exception {
-        GatewayProcess restarted = new GatewayProcess(folder, name, null, ended.port, discovery, knownList, settings, limits,
-                false);
-        meter.add(restarted);
-        restarted.awaitReady();
-        return restarted;
+        return new GatewayProcess(folder, name, null, ended.port, discovery, knownList, settings, limits).sampledBy(meter);
     }
 
     /** Starts a successor behind the same socket, whose memory is sampled from its start on, and waits until it is
         ready. */
     static GatewayProcess successor(Path folder, String name, PassedSocket socket, Loopback.Server discovery,
             String knownList, String settings, Limits limits, MemoryMeter meter) throws Exception {
-        GatewayProcess successor = new GatewayProcess(folder, name, socket, discovery, knownList, settings, limits, false);
-        meter.add(successor);
-        successor.awaitReady();
-        return successor;
+        return new GatewayProcess(folder, name, socket, socket.port(), discovery, knownList, settings, limits).sampledBy(meter);
+    }
+
+    /** Has its memory sampled from its start on, and waits until it is ready. */
+    private GatewayProcess sampledBy(MemoryMeter meter) throws Exception {
+        meter.add(this);
+        awaitReady();
+        return this;
     }
 
     static int freePort() throws IOException {
