Count a head without copying its fields; tests: one place for limits, kills and faults in a log

The memory of a request's head was summed over strings that were made for it, for each request; it is summed over the fields as they are. In the tests the least limit, the earliest kill of plain clients and what tells a fault in a log stand once each; a count of memory below zero is a fault as well, for both tests at the limit. Behaviour is the same.

--- a/src/main/java/mastdrift/net/BodyRelay.java
+++ b/src/main/java/mastdrift/net/BodyRelay.java
@@ -23,8 +23,8 @@
     private final MemoryPool pool;
     private final int maxBytes;
     private final ByteQueue buffered = new ByteQueue();
-    private boolean full;
     private final MemoryPool.Holding holding;
+    private boolean full;
     private long unwrittenBytes;  // given to the target channel, which has not written them
     private boolean complete;
     private boolean failed;
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -397,7 +397,8 @@
     }
 
     /** Accepts a request, retaining its message, and its memory for as long as an attempt is writing it.
-        {@code timeLeft} counts from the request's last byte; {@code bodyRelay} is null if the request is complete. Returns null if the request was answered at once. */
+        {@code timeLeft} counts from the request's last byte; {@code bodyRelay} is null if the request is complete. Returns
+        null if the request was answered at once. */
     Exchange submit(Client client, FullHttpRequest request, BodyRelay bodyRelay, RequestMemory memory, String className,
             String tenant, Long key, long timeLeft, boolean repeated, long work) {
         metrics.increment(GatewayMetrics.Counter.TAKEN);
--- a/src/main/java/mastdrift/net/RequestMemory.java
+++ b/src/main/java/mastdrift/net/RequestMemory.java
@@ -1,6 +1,7 @@
 package mastdrift.net;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.Iterator;
 import java.util.Map;
 
 /** The memory of one request that has been read: its head, and its body or the part of it that came ahead of a relay.
@@ -31,8 +32,9 @@
 
     private static long headBytes(FullHttpRequest request) {
         long bytes = REQUEST_OVERHEAD_BYTES + request.uri().length();
-        for (Map.Entry<String, String> header : request.headers()) {
-            bytes += HEADER_OVERHEAD_BYTES + header.getValue().length();
+        Iterator<Map.Entry<CharSequence, CharSequence>> headers = request.headers().iteratorCharSequence();
+        while (headers.hasNext()) {
+            bytes += HEADER_OVERHEAD_BYTES + headers.next().getValue().length();
         }
         return bytes;
     }
--- a/src/test/java/mastdrift/net/CrowdTest.java
+++ b/src/test/java/mastdrift/net/CrowdTest.java
@@ -30,7 +30,6 @@
     memory, and serves other clients in time. {@code -Dcrowd.seeds=1,2,3} plays further seeds by hand, {@code -Dcrowd.forms=HEADS.*} certain forms. */
 class CrowdTest {
 
-    private static final GatewayProcess.Limits LIMITS = new GatewayProcess.Limits(128, 1024);
     // Clients hold no more than a third of the descriptors.
     private static final int CROWD_CLIENTS = 340;
     private static final long MEMORY_LIMIT_MEGABYTES = 128;
@@ -189,7 +188,7 @@
         try (Server discovery = discoveryServer(); Server one = host(); Server two = host(); Server three = host();
                 GatewayProcess gateway = new GatewayProcess(folder, discovery, hostList(1, true,
                         hostEntry("s1", one.address(), "a", "in_service"), hostEntry("s2", two.address(), "a", "in_service"),
-                        hostEntry("s3", three.address(), "b", "in_service")), settings, LIMITS)) {
+                        hostEntry("s3", three.address(), "b", "in_service")), settings, GatewayProcess.Limits.LEAST_MEMORY)) {
             PlainClients others = new PlainClients(gateway);
             sleep(500);
             Random random = new Random(seed);
--- a/src/test/java/mastdrift/net/DepartedClientTest.java
+++ b/src/test/java/mastdrift/net/DepartedClientTest.java
@@ -23,7 +23,6 @@
 /** Gateway processes whose clients leave: nothing is sent to a host for them, and nothing runs twice. */
 class DepartedClientTest {
 
-    private static final GatewayProcess.Limits LIMITS = new GatewayProcess.Limits(128, 1024);
     private static final int DEADLINE_MILLIS = 2_000;
     private static final int KILL_AFTER_MILLIS = DEADLINE_MILLIS + 700;
     // The 0.1 s after a client's close in which an attempt may begin, and the 50 ms of the sockets.
@@ -40,7 +39,7 @@
     private GatewayProcess start(String name, PassedSocket socket, Server discovery, RecordingHost host) throws Exception {
         return new GatewayProcess(folder, name, socket, discovery, hostList(1, true,
                 hostEntry("s1", host.address(), "a", "in_service")),
-                SETTINGS.replace("60000000", Integer.toString(DEADLINE_MILLIS * 1000)), LIMITS);
+                SETTINGS.replace("60000000", Integer.toString(DEADLINE_MILLIS * 1000)), GatewayProcess.Limits.LEAST_MEMORY);
     }
 
     /** Writes on a thread of its own until the connection ends: it waits where the gateway does not read. */
--- a/src/test/java/mastdrift/net/GatewayProcess.java
+++ b/src/test/java/mastdrift/net/GatewayProcess.java
@@ -23,7 +23,11 @@
     private static final int SUSPENSION_MILLIS = 140;  // and what it takes to send two signals
 
     /** The limits in a gateway's settings. */
-    record Limits(int memoryMegabytes, int sockets) { }
+    record Limits(int memoryMegabytes, int sockets) {
+
+        /** The least memory that the operators' pages name for this program, and the most descriptors. */
+        static final Limits LEAST_MEMORY = new Limits(128, 1024);
+    }
 
     private final int port;
     private final int adminPort;
@@ -140,18 +144,23 @@
         return Files.readString(log, StandardCharsets.UTF_8);
     }
 
+    /** Whether a log tells a fault of the program: an error, or memory that was returned more than once. */
+    static boolean tellsFault(String log) {
+        return log.contains("fault") || log.contains("Error") || log.contains("held_kib=-");
+    }
+
     /** The most memory that the process has had resident, in megabytes. */
     long peakMegabytes() throws IOException {
-        return kibibytes("status", "VmHWM:") / KIBIBYTES_PER_MEGABYTE;
+        return statusKibibytes("VmHWM:") / KIBIBYTES_PER_MEGABYTE;
     }
 
     /** The memory that the process has resident, in kibibytes. */
     long residentKibibytes() throws IOException {
-        return kibibytes("status", "VmRSS:");
+        return statusKibibytes("VmRSS:");
     }
 
-    private long kibibytes(String file, String key) throws IOException {
-        for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), file))) {
+    private long statusKibibytes(String key) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
             if (line.startsWith(key)) {
                 return Long.parseLong(line.replaceAll("[^0-9]", ""));
             }
--- a/src/test/java/mastdrift/net/MemoryFaultsTest.java
+++ b/src/test/java/mastdrift/net/MemoryFaultsTest.java
@@ -25,8 +25,6 @@
     private static final int RUN_MILLIS = 10_000;
     private static final int EVENT_AT_MILLIS = 3_500;
     private static final int SIGNAL_PAUSE_MILLIS = 300;
-    // The kill comes 0.7 s plus the longest deadline after SIGTERM.
-    private static final int KILL_AFTER_MILLIS = PlainClients.DEADLINE_MILLIS + 700;
     private static final int UPGRADE_MEGABYTES = 192;
 
     /** What happens to the process in the midst of a run. */
@@ -61,12 +59,14 @@
                 Thread waves = startWaves(crowd, limits, random);
                 TimeUnit.MILLISECONDS.sleep(EVENT_AT_MILLIS);
                 if (event == Event.UPGRADE) {
-                    second = GatewayProcess.successor(folder, "second", passed, discovery, hosts.list(), RecordingHosts.settings(), limits, meter);
-                    first.terminate(KILL_AFTER_MILLIS);
+                    second = GatewayProcess.successor(folder, "second", passed, discovery, hosts.list(),
+                            RecordingHosts.settings(), limits, meter);
+                    first.terminate(PlainClients.KILL_AFTER_MILLIS);
                 } else if (event != Event.NONE) {
                     others.expectEnd(event == Event.KILL_AND_RESTART);
-                    first.terminate(event == Event.KILL_AND_RESTART ? 0 : KILL_AFTER_MILLIS);
-                    second = GatewayProcess.restarted(folder, "second", first, discovery, hosts.list(), RecordingHosts.settings(), limits, meter);
+                    first.terminate(event == Event.KILL_AND_RESTART ? 0 : PlainClients.KILL_AFTER_MILLIS);
+                    second = GatewayProcess.restarted(folder, "second", first, discovery, hosts.list(),
+                            RecordingHosts.settings(), limits, meter);
                 }
                 GatewayProcess current = second == null ? first : second;
                 while (signals && waves.isAlive()) {
@@ -123,7 +123,7 @@
         if (peakMegabytes >= limits.memoryMegabytes()) {
             breaches.add("peak of " + peakMegabytes + " MB");
         }
-        if (log.contains("fault") || log.contains("Error")) {
+        if (GatewayProcess.tellsFault(log)) {
             breaches.add("a fault in the log");
         }
         if (others.lostForGood() > 0) {
--- a/src/test/java/mastdrift/net/MemoryLimitTest.java
+++ b/src/test/java/mastdrift/net/MemoryLimitTest.java
@@ -23,9 +23,7 @@
 
     private static final int RUN_MILLIS = 6_000;
     private static final int UPGRADE_AT_MILLIS = 3_000;
-    private static final int KILL_AFTER_MILLIS = PlainClients.DEADLINE_MILLIS + 700;
-    // The least that the operators' pages name for this program, and the limit of an upgrade's two processes.
-    private static final Limits LEAST = new Limits(128, 1024);
+    // Of the two processes together.
     private static final Limits UPGRADE = new Limits(192, 1024);
 
     @TempDir
@@ -66,14 +64,15 @@
     @EnumSource
     void staysWithinTheLeastMemoryBesideACrowd(Crowd crowd) throws Exception {
         try (Server discovery = discoveryServer(); RecordingHosts hosts = new RecordingHosts();
-                GatewayProcess gateway = new GatewayProcess(folder, discovery, hosts.list(), RecordingHosts.settings(), LEAST)) {
+                GatewayProcess gateway = new GatewayProcess(folder, discovery, hosts.list(), RecordingHosts.settings(),
+                        Limits.LEAST_MEMORY)) {
             PlainClients others = new PlainClients(gateway);
             MemoryCrowd script = new MemoryCrowd(gateway);
             crowd.play(script, RUN_MILLIS, new Random(crowd.ordinal()));
             others.end();
             script.end();
             assertTrue(gateway.isAlive(), gateway.log());
-            check("beside " + crowd, gateway.peakMegabytes(), LEAST, gateway.log(), others);
+            check("beside " + crowd, gateway.peakMegabytes(), Limits.LEAST_MEMORY, gateway.log(), others);
         }
     }
 
@@ -83,7 +82,8 @@
     void staysWithinOneLimitDuringAnUpgrade(Crowd crowd) throws Exception {
         try (Server discovery = discoveryServer(); RecordingHosts hosts = new RecordingHosts();
                 PassedSocket passed = new PassedSocket(folder);
-                GatewayProcess gateway = new GatewayProcess(folder, "old", passed, discovery, hosts.list(), RecordingHosts.settings(), UPGRADE);
+                GatewayProcess gateway = new GatewayProcess(folder, "old", passed, discovery, hosts.list(),
+                        RecordingHosts.settings(), UPGRADE);
                 MemoryMeter meter = new MemoryMeter(gateway)) {
             PlainClients others = new PlainClients(gateway);
             MemoryCrowd script = new MemoryCrowd(gateway);
@@ -92,7 +92,7 @@
             TimeUnit.MILLISECONDS.sleep(UPGRADE_AT_MILLIS);
             try (GatewayProcess successor = GatewayProcess.successor(folder, "new", passed, discovery, hosts.list(),
                     RecordingHosts.settings(), UPGRADE, meter)) {
-                gateway.terminate(KILL_AFTER_MILLIS);
+                gateway.terminate(PlainClients.KILL_AFTER_MILLIS);
                 play.join();
                 others.end();
                 script.end();
@@ -108,7 +108,7 @@
                 + " MB, others " + others.summary());
         Files.writeString(Path.of("target", "memory-" + play.replace(' ', '-') + ".log"), log);
         assertTrue(peakMegabytes < limits.memoryMegabytes(), "peak of " + peakMegabytes + " MB");
-        assertFalse(log.contains("fault") || log.contains("Error"), "a fault in the log");
+        assertFalse(GatewayProcess.tellsFault(log), "a fault in the log");
         assertEquals(0, others.lostForGood(), others.summary());
     }
 }
--- a/src/test/java/mastdrift/net/PeerFaultsTest.java
+++ b/src/test/java/mastdrift/net/PeerFaultsTest.java
@@ -33,7 +33,6 @@
     {@code -Dpeers.seeds=1..50}. */
 class PeerFaultsTest {
 
-    private static final GatewayProcess.Limits LIMITS = new GatewayProcess.Limits(128, 1024);
     private static final int CROWD_CLIENTS = 300;
     private static final int RUN_MILLIS = 9_000;
     private static final int UPGRADE_AT_MILLIS = 2_500;
@@ -70,7 +69,7 @@
             String list = hostList(1, true, hostEntry("s1", one.address(), "a", "in_service"),
                     hostEntry("s2", two.address(), "a", "in_service"), hostEntry("s3", three.address(), "b", "in_service"));
             GatewayProcess successor = null;
-            try (GatewayProcess gateway = new GatewayProcess(folder, "n" + seed, passed, discovery, list, settings, LIMITS)) {
+            try (GatewayProcess gateway = new GatewayProcess(folder, "n" + seed, passed, discovery, list, settings, GatewayProcess.Limits.LEAST_MEMORY)) {
                 long endAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RUN_MILLIS);
                 ClientScript script = new ClientScript(gateway, endAt);
                 List<Thread> threads = new ArrayList<>();
@@ -82,7 +81,7 @@
                 startThread(() -> measurePauses(endAt, longestPauseMillis));
                 if (upgrade) {
                     TimeUnit.MILLISECONDS.sleep(UPGRADE_AT_MILLIS);
-                    successor = new GatewayProcess(folder, "n" + seed + "b", passed, discovery, list, settings, LIMITS);
+                    successor = new GatewayProcess(folder, "n" + seed + "b", passed, discovery, list, settings, GatewayProcess.Limits.LEAST_MEMORY);
                     script.killAt(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KILL_AFTER_MILLIS));
                     gateway.terminate(KILL_AFTER_MILLIS);
                 }
--- a/src/test/java/mastdrift/net/PlainClients.java
+++ b/src/test/java/mastdrift/net/PlainClients.java
@@ -24,6 +24,8 @@
     static final int DEADLINE_MILLIS = 2000;
     // An answer up to half a second after its time is late, not lost.
     static final int LOST_AFTER_MILLIS = DEADLINE_MILLIS + 500;
+    /** The earliest time of the kill after SIGTERM: 0.7 s plus the longest deadline. */
+    static final int KILL_AFTER_MILLIS = DEADLINE_MILLIS + 700;
     private static final int CLIENTS = 5;
     private static final int PAUSE_MILLIS = 50;
     // At SIGTERM a gateway closes its listening socket after 0.5 s: at its connection limit, connections that it never
